--- /dev/null
+++ b/src/api/api.cpp
@@ -0,0 +1,319 @@
+// Users, workers, health checks and siblings, as they come in over HTTP.
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "daemon/node.h"
+#include "wire/wire.h"
+
+namespace rookdyke {
+
+using ledger::Outcome;
+using ledger::Standing;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* kType = "application/msgpack";
+// A user waits 5 s for an answer to a submission and 2 s for one to a poll.
+constexpr double kSubmitPatience = 4.0;
+constexpr double kPollPatience = 1.6;
+constexpr size_t kPool = 4;
+constexpr double kHealthPatience = 2.5;
+
+void reply(httplib::Response& res, int status, const json& body) {
+  res.status = status;
+  res.set_content(wire::pack(body), kType);
+}
+
+// The service cannot take it now and says so at once; the user comes back by itself.
+void later(httplib::Response& res, const char* why) {
+  res.set_header("Retry-After", "1");
+  reply(res, 503, {{"error", why}});
+}
+
+bool ends_with(const std::string& s, const std::string& end) {
+  return s.size() >= end.size() && s.compare(s.size() - end.size(), end.size(), end) == 0;
+}
+
+double day_time() {
+  return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+// A connection to the state service, borrowed for one user's request.
+class PooledState {
+ public:
+  explicit PooledState(Node& n) : node_(n) {
+    std::unique_lock lock(n.pool_mutex_);
+    if (n.pool_.empty() && n.pool_made_ < kPool) {
+      ++n.pool_made_;
+      mine_ = std::make_unique<state::Client>(n.config_.state, n.state_budgets_);
+      return;
+    }
+    n.pool_cv_.wait_for(lock, std::chrono::seconds(2), [&] { return !n.pool_.empty(); });
+    if (n.pool_.empty()) return;
+    mine_ = std::move(n.pool_.back());
+    n.pool_.pop_back();
+  }
+  ~PooledState() {
+    if (!mine_) return;
+    std::lock_guard lock(node_.pool_mutex_);
+    node_.pool_.push_back(std::move(mine_));
+    node_.pool_cv_.notify_one();
+  }
+  PooledState(const PooledState&) = delete;
+  PooledState& operator=(const PooledState&) = delete;
+  state::Client* operator->() { return mine_.get(); }
+  explicit operator bool() const { return mine_ != nullptr; }
+
+ private:
+  Node& node_;
+  std::unique_ptr<state::Client> mine_;
+};
+
+void Node::serve(const httplib::Request& req, httplib::Response& res) {
+  const std::string path = req.target.substr(0, req.target.find('?'));
+  static const std::string jobs = std::string(wire::kJobs) + "/";
+  const bool post = req.method == "POST";
+  const bool get = req.method == "GET";
+  if (path == wire::kReport && post) {
+    report(req, res);
+  } else if (path == wire::kHealth && get) {
+    health(res);
+  } else if (path == wire::kJobs && post) {
+    submit(req, res);
+  } else if (path.compare(0, jobs.size(), jobs) == 0) {
+    const std::string rest = path.substr(jobs.size());
+    if (post && ends_with(rest, wire::kAbortEnd)) {
+      abort(rest.substr(0, rest.size() - std::string(wire::kAbortEnd).size()), res);
+    } else if (get) {
+      poll(rest, res);
+    } else {
+      reply(res, 404, {{"error", "no such path"}});
+    }
+  } else {
+    reply(res, 404, {{"error", "no such path"}});
+  }
+}
+
+// Brings a transaction to an outcome: an unanswered one is repeated word for word.
+std::optional<ledger::Result> Node::settle(const ledger::Transaction& t, double deadline) {
+  PooledState state(*this);
+  if (!state) return std::nullopt;
+  bool repeat = false;
+  while (true) {
+    const double left = deadline - steady_now();
+    if (left <= 0.05) return std::nullopt;
+    const ledger::Result r =
+        repeat ? state->commit_repeated(t, left) : state->commit(t, std::min(left, 1.5));
+    if (r.outcome == Outcome::unknown) {
+      repeat = true;
+      continue;
+    }
+    if (r.outcome == Outcome::refused && repeat) {
+      // This copy was refused; an earlier one may still be executed.
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+      continue;
+    }
+    return r;
+  }
+}
+
+void Node::submit(const httplib::Request& req, httplib::Response& res) {
+  const double deadline = steady_now() + kSubmitPatience;
+  const auto body = wire::unpack(req.body);
+  if (!body || !body->is_object()) return reply(res, 400, {{"error", "not a MessagePack map"}});
+  const auto id = wire::job_id(*body);
+  if (!id) return reply(res, 400, {{"error", "bad id"}});
+
+  // A job that is known already is answered with its state, whatever the body says now.
+  auto known = [&]() -> bool {
+    std::unique_lock lock(mutex_);
+    const auto a = mirror_.answer(*id);
+    lock.unlock();
+    if (a) reply(res, 200, wire::job_answer(*id, *a, false));
+    return a.has_value();
+  };
+  auto decided_elsewhere = [&] {  // before any 400 or 422: nobody may have accepted it
+    if (!barrier(deadline - steady_now())) {
+      later(res, "the ledger does not answer");
+      return true;
+    }
+    return known();
+  };
+  bool seen = false, over = false;
+  {
+    std::lock_guard lock(mutex_);
+    if (const MirrorJob* j = mirror_.job(*id)) {
+      seen = true;
+      over = j->row.standing != Standing::open;
+    }
+  }
+  if (seen) {
+    if (!over && !barrier(deadline - steady_now())) return later(res, "the ledger does not answer");
+    if (known()) return;
+  }
+
+  std::string error;
+  const auto spec = wire::parse_job(*body, error);
+  if (!spec) {
+    if (decided_elsewhere()) return;
+    return reply(res, 400, {{"error", "missing or invalid: " + error}});
+  }
+  std::vector<TypeInfo> types;
+  {
+    std::lock_guard lock(mutex_);
+    types = !mirror_.types().empty() ? mirror_.types() : types_;
+  }
+  if (types.empty() || !loaded_) return later(res, "machine types are not known yet");
+  const TeamInfo* team = nullptr;
+  for (const TeamInfo& t : config_.core.teams)
+    if (t.name == spec->team) team = &t;
+  std::string never;
+  if (!team) never = "unknown team";
+  bool fits = false;
+  for (const TypeInfo& t : types) {
+    if (!spec->types.empty() &&
+        std::find(spec->types.begin(), spec->types.end(), t.name) == spec->types.end())
+      continue;
+    fits = fits || spec->each.fits(t.size);
+  }
+  if (!fits) never = "no allowed machine type holds a task";
+  if (team) {
+    const double n = spec->shape == Shape::gang ? spec->tasks : 1;
+    if ((team->cpus_max > 0 && spec->each.cpus * n > team->cpus_max + 1e-9) ||
+        (team->gpus_max > 0 && spec->each.gpus * n > team->gpus_max + 1e-9))
+      never = "more than the team's limit";
+  }
+  if (!never.empty()) {
+    if (decided_elsewhere()) return;
+    return reply(res, 422, {{"error", never}});
+  }
+
+  ledger::JobRow row;
+  row.tasks = spec->tasks;
+  row.per = ledger::tasks_per_chunk(config_.core.value_bytes);
+  row.at_s = day_time();
+  row.spec = *spec;
+  ledger::Transaction t;
+  {
+    std::lock_guard lock(mutex_);
+    t.mark = config_.core.label + "." + std::to_string(random_());
+  }
+  row.mark = t.mark;
+  const json value = ledger::encode(row);
+  if (value.dump(-1, ' ', false, json::error_handler_t::replace).size() + 16 >
+      config_.core.value_bytes)
+    return reply(res, 400, {{"error", "the description is too long"}});
+  // Invariant 1: accepted means that this create-if-absent was executed.
+  t.conditions = {{ledger::job_key(*id), 0}};
+  t.changes = {{ledger::job_key(*id), false, value, 0}};
+  const auto r = settle(t, deadline);
+  if (!r || r->outcome == Outcome::refused) return later(res, "the ledger does not answer");
+  if (r->outcome == Outcome::conflict) {
+    // Somebody's copy of this submission came first.
+    if (decided_elsewhere()) return;
+    return later(res, "try again");
+  }
+  {
+    std::lock_guard lock(mutex_);
+    apply({ledger::job_key(*id), value, r->revision, false});
+  }
+  reply(res, 201, {{"id", *id}, {"standing", "pending"}});
+}
+
+void Node::poll(const std::string& id, httplib::Response& res) {
+  if (!wire::valid_job_id(id)) return reply(res, 404, {{"error", "no such job"}});
+  {
+    std::lock_guard lock(mutex_);
+    const MirrorJob* j = mirror_.job(id);
+    if (j && j->row.standing != Standing::open)  // final: no newer answer can exist
+      return reply(res, 200, wire::job_answer(id, *mirror_.answer(id), true));
+  }
+  // Invariant 6: anything else could be older than what another node has said.
+  if (!barrier(kPollPatience)) return later(res, "the ledger does not answer");
+  std::lock_guard lock(mutex_);
+  const auto a = mirror_.answer(id);
+  if (!a) return reply(res, 404, {{"error", "no such job"}});
+  reply(res, 200, wire::job_answer(id, *a, true));
+}
+
+void Node::abort(const std::string& id, httplib::Response& res) {
+  const double deadline = steady_now() + kSubmitPatience;
+  if (!wire::valid_job_id(id)) return reply(res, 404, {{"error", "no such job"}});
+  while (true) {
+    ledger::Transaction t;
+    ledger::JobRow row;
+    if (!barrier(deadline - steady_now())) return later(res, "the ledger does not answer");
+    {
+      std::lock_guard lock(mutex_);
+      const MirrorJob* j = mirror_.job(id);
+      if (!j) return reply(res, 404, {{"error", "no such job"}});
+      if (j->row.standing != Standing::open)
+        return reply(res, 200, wire::job_answer(id, *mirror_.answer(id), false));
+      t.mark = config_.core.label + "." + std::to_string(random_());
+      row.tasks = j->row.tasks;
+      row.per = j->row.per;
+      t.conditions = {{ledger::job_key(id), j->stamp}};
+    }
+    row.standing = Standing::aborted;
+    row.mark = t.mark;
+    const json value = ledger::encode(row);
+    t.changes = {{ledger::job_key(id), false, value, 0}};
+    const auto r = settle(t, deadline);
+    if (!r || r->outcome == Outcome::refused) return later(res, "the ledger does not answer");
+    if (r->outcome == Outcome::conflict) continue;  // it moved: look again
+    std::lock_guard lock(mutex_);
+    apply({ledger::job_key(id), value, r->revision, false});
+    return reply(res, 200, {{"id", id}, {"standing", "aborted"}});
+  }
+}
+
+void Node::report(const httplib::Request& req, httplib::Response& res) {
+  const auto body = wire::unpack(req.body);
+  const auto r = body ? wire::parse_report(*body) : std::nullopt;
+  if (!r) return reply(res, 400, {{"error", "not a report"}});
+  std::unique_lock lock(mutex_);
+  const double now = steady_now();
+  if (leads() && core_ && !core_->lost()) {
+    const ReportReply out = core_->on_report(*r, now);
+    if (out.verdict != ReportReply::Verdict::deposed) {
+      const json answer = wire::report_answer(token_, out.orders);
+      lock.unlock();
+      commit_cv_.notify_one();
+      return reply(res, 200, answer);
+    }
+    step_down(Role::follower, "a worker has seen a higher token");
+  }
+  // Only a leader that we have heard of lately is worth sending a worker to: one that is dead
+  // would cost it 4 s of waiting.
+  std::string leader;
+  if (now - state_ok_at_ < 1.5 && mirror_.leader() != config_.core.label) leader = mirror_.leader();
+  lock.unlock();
+  reply(res, 421, wire::redirect(leader));
+}
+
+void Node::health(httplib::Response& res) {
+  const double now = steady_now();
+  const bool mine = loaded_ && now - state_ok_at_ < kHealthPatience;
+  // During an outage all nodes are alike, and being marked unhealthy would outlast it; only a
+  // node that is alone in its trouble sends its users elsewhere.
+  const bool others = now - siblings_ok_at_ < kHealthPatience;
+  const bool ok = mine || (loaded_ && !others);
+  reply(res, ok ? 200 : 503, {{"ok", ok}});
+}
+
+void Node::serve_mesh(const httplib::Request& req, httplib::Response& res) {
+  if (req.target != mesh::kView || req.method != "POST") {
+    res.status = 404;
+    return;
+  }
+  if (const auto v = mesh::decode(req.body)) hear(*v);
+  res.set_content(mesh::encode(view()).dump(), "application/json");
+}
+
+}  // namespace rookdyke
--- /dev/null
+++ b/src/cloud/client.cpp
@@ -0,0 +1,93 @@
+#include "cloud/client.h"
+
+#include <spdlog/spdlog.h>
+
+#include "wire/wire.h"
+
+namespace rookdyke::cloud {
+
+using nlohmann::json;
+
+Client::Client(const Endpoint& at, net::Budget& budget)
+    : http_(at.host, at.port), budget_(budget) {
+  http_.set_keep_alive(true);
+  http_.set_tcp_nodelay(true);
+  http_.set_url_encode(false);
+  http_.set_connection_timeout(1, 0);
+  http_.set_read_timeout(3, 0);
+  http_.set_write_timeout(1, 0);
+}
+
+Client::Answer Client::call(bool post, const std::string& path, const json* body) {
+  Answer a;
+  if (!budget_.take(1, 3.0)) return a;
+  static const std::string type = "application/msgpack";
+  httplib::Result r =
+      post ? http_.Post(path, body ? wire::pack(*body) : std::string(), type) : http_.Get(path);
+  if (!r) {
+    a.sent = r.error() != httplib::Error::Connection &&
+             r.error() != httplib::Error::ConnectionTimeout;
+    spdlog::debug("cloud: {}: {}", path, httplib::to_string(r.error()));
+    return a;
+  }
+  a.status = r->status;
+  a.sent = true;
+  if (!r->body.empty())
+    if (auto j = wire::unpack(r->body)) a.body = std::move(*j);
+  if (a.status == 429) budget_.penalty(0.5);
+  if (a.status != 200) spdlog::debug("cloud: {}: {}", path, a.status);
+  return a;
+}
+
+std::optional<std::vector<TypeInfo>> Client::types() {
+  const Answer a = call(false, "/machine_types", nullptr);
+  if (a.status != 200) return std::nullopt;
+  return wire::parse_types(a.body);
+}
+
+Client::Hired Client::hire(const Hire& h) {
+  Hired out;
+  const json body = wire::hire(h);
+  const Answer a = call(true, "/machines", &body);
+  if (a.status == 200) {
+    if (auto names = wire::parse_hired(a.body)) {
+      out.outcome = CloudOutcome::done;
+      out.machines = std::move(*names);
+    }
+  } else if (a.status == 503) {
+    const bool full = a.body.is_object() && a.body.value("error", std::string()) == "no capacity";
+    out.outcome = full ? CloudOutcome::no_capacity : CloudOutcome::refused;
+  } else if (a.status == 400) {
+    spdlog::error("cloud: hire {} was malformed", h.name);
+    out.outcome = CloudOutcome::no_capacity;
+  } else if (a.status != 0 || !a.sent) {
+    out.outcome = CloudOutcome::refused;
+  }
+  return out;
+}
+
+CloudOutcome Client::give_back(const std::vector<std::string>& names) {
+  const json body = wire::give_back(names);
+  const Answer a = call(true, "/machines/return", &body);
+  if (a.status == 200) return CloudOutcome::done;
+  return a.status != 0 || !a.sent ? CloudOutcome::refused : CloudOutcome::unknown;
+}
+
+std::optional<std::vector<ListedMachine>> Client::list() {
+  std::vector<ListedMachine> all;
+  std::string after;
+  while (true) {
+    const Answer a = call(false, wire::list_path(after, 500), nullptr);
+    if (a.status != 200) return std::nullopt;
+    bool more = false;
+    auto page = wire::parse_machines(a.body, more);
+    if (!page) return std::nullopt;
+    if (!page->empty()) after = page->back().name;
+    const bool empty = page->empty();
+    all.insert(all.end(), std::make_move_iterator(page->begin()),
+               std::make_move_iterator(page->end()));
+    if (!more || empty) return all;
+  }
+}
+
+}  // namespace rookdyke::cloud
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,48 @@
+#pragma once
+// The platform's settings file (JSON) and the operators' own (INI), checked.
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "core/settings.h"
+
+namespace rookdyke {
+
+struct Endpoint {
+  std::string host;
+  int port = 0;
+};
+
+struct Sibling {
+  std::string label;
+  Endpoint mesh;
+};
+
+struct Config {
+  Settings core;
+  Endpoint bind, mesh, cloud, state;
+  std::vector<Sibling> siblings;
+  double state_rps = 50, write_rps = 20, cloud_rps = 2;
+  size_t max_sockets = 1000;
+  double cores = 1;
+  double memory_mb = 0;
+  int nodes = 1;
+  // [node] of the INI file
+  double lease_ttl_s = 2.5;   // the leader key's lease
+  double watch_s = 0.2;       // the leader's interval between looks at the ledger
+  double follow_s = 0.5;      // a follower's
+};
+
+// One clear line for the operator; the program ends with exit code 2.
+struct ConfigError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+Config read_config(const std::string& json_path, const std::optional<std::string>& ini_path);
+// The same from text, for tests.
+Config parse_config(const std::string& json_text);
+void apply_ini(Config& config, const std::string& path);
+
+}  // namespace rookdyke
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,271 @@
+#pragma once
+// The leader's mind: pure and single-threaded. Events go in (time, reports, job rows, transaction
+// results, machine lists), effects come out (transactions, hires, returns, orders). It has no
+// sockets, clocks or randomness of its own, so scenarios drive it in simulated time.
+//
+// core.cpp       life of jobs and transactions, taking over from the ledger
+// reports.cpp    what a worker's report proves, and the orders it is answered with
+// placement.cpp  what runs where, preemption
+// fleet.cpp      demand, renting, draining, returning
+// states.cpp     the state machines' allowed steps
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/forecast.h"
+#include "core/ledger.h"
+#include "core/mirror.h"
+#include "core/settings.h"
+#include "core/states.h"
+#include "core/types.h"
+
+namespace rookdyke {
+
+struct Attempt {
+  uint32_t task = 0;
+  uint64_t number = 0;
+  Index machine = kNone;
+  uint64_t session = 0;
+  AttemptState state = AttemptState::proposed;
+  Cause cause = Cause::none;
+  bool stop = false;        // it is to leave its machine
+  double grace_s = 0;       // with this much time to save
+  double since = 0;         // proposed or taken over at
+  double running_since = 0;
+  // The report in whose answer `run` was last ordered; (0,0): never by this leader.
+  uint64_t ordered_session = 0, ordered_seq = 0;
+};
+
+struct Job {
+  Index id = kNone;
+  JobSpec spec;
+  Index lot = kNone, team = kNone, image = kNone, zone = kNone;
+  std::vector<bool> types;  // allowed, by type index; empty: any
+  JobState state = JobState::open;
+  uint64_t stamp = 0;
+  double at_s = 0;
+  uint32_t per = 1;
+  std::set<uint32_t> waiting;                      // tasks without an attempt
+  std::map<uint32_t, Attempt> attempts;            // at most one per task, ever (rule ran_twice)
+  ledger::TaskSet done;
+  uint32_t done_count = 0;
+  uint64_t top = 0;                                // highest attempt number used
+  struct Chunk {
+    uint64_t stamp = 0;
+    bool dirty = false, in_flight = false;
+  };
+  std::map<uint32_t, Chunk> chunks;
+  bool stale = false;       // its row changed under us; wait for the watch
+  double not_before = 0;    // back-off after errors of its own
+  double retry_at = 0;      // after a refused transaction
+  std::set<Index> erred_on; // machines where it failed since it last succeeded
+  uint32_t errors = 0;
+  uint32_t tasks() const { return spec.tasks; }
+  bool gang() const { return spec.shape == Shape::gang; }
+  bool over() const { return state == JobState::done || state == JobState::aborted; }
+};
+
+struct Machine {
+  Index index = kNone;
+  std::string name, addr;
+  Index type = kNone, zone = kNone;
+  bool spot = false;
+  MachineState state = MachineState::booting;
+  double hired_at = 0;
+  double last_report = 0;
+  double draining_since = 0;
+  double recall_at = -1;     // when the cloud takes it; negative: no notice
+  uint64_t session = 0, seq = 0;
+  bool heard = false;        // reported to this leader
+  bool was_up = false;       // the ledger has attempts on it, or it reported
+  bool listed = false;       // seen in the cloud's list, or unlisted since `unlisted_at`
+  double unlisted_at = -1;
+  bool cordoned = false;     // never used again
+  bool strays = false;       // holds tasks the ledger does not know; nothing new until gone
+  bool returning = false;    // a return call is under way
+  double return_after = 0;
+  Amounts used;              // by attempts that are not ended
+  std::vector<std::pair<Index, uint32_t>> tasks;  // (job, task) of attempts that are not ended
+  std::map<Index, std::pair<double, double>> images;  // image -> (last used, size)
+  std::set<Index> err_jobs;  // distinct jobs that failed here since a success
+  double suspect_until = 0;
+  Index reserved_for = kNone;  // a job that others were stopped for
+  double reserved_until = 0;
+  bool usable() const { return state == MachineState::ready && heard && !cordoned; }
+};
+
+struct ReportReply {
+  enum class Verdict : uint8_t { taken, old, deposed } verdict = Verdict::taken;
+  std::vector<Order> orders;
+};
+
+struct PendingTransaction {
+  uint64_t id = 0;
+  ledger::Transaction txn;
+  bool repeat = false;  // an earlier copy may still be executed: it goes out unchanged
+};
+
+struct Hire {
+  std::string name, type, zone;
+  bool spot = false;
+  int count = 0;
+};
+
+enum class CloudOutcome : uint8_t { done, no_capacity, refused, unknown };
+
+class Core {
+ public:
+  Core(const Settings& settings, std::vector<TypeInfo> types, uint64_t token, double now);
+
+  // Takes over: everything committed so far, as the mirror holds it behind a read barrier.
+  void load(const Mirror& mirror, double now);
+  // A job's row appeared or changed (users' submissions and aborts).
+  void on_job_row(const MirrorJob& row, const std::string& id, double now);
+  void set_prices(const std::vector<TypeInfo>& types);
+
+  ReportReply on_report(const Report& report, double now);
+
+  // One round of decisions.
+  void round(double now);
+
+  // Transactions: at most one in flight per chunk.
+  std::optional<PendingTransaction> next_transaction(double now);
+  void on_result(uint64_t id, const ledger::Result& result, double now);
+
+  std::optional<Hire> next_hire(double now);
+  void on_hire(const Hire& hire, CloudOutcome outcome, const std::vector<std::string>& machines,
+               double now);
+  std::vector<std::string> next_return(double now);
+  void on_return(const std::vector<std::string>& names, CloudOutcome outcome, double now);
+  // A list read from the cloud, asked for at `asked`.
+  void on_machine_list(const std::vector<ListedMachine>& list, double asked, double now);
+
+  uint64_t token() const { return token_; }
+  // A condition on the leader key failed, or the ledger contradicts us: stop leading.
+  bool lost() const { return lost_; }
+  // Most machines that reported to us have fallen silent: the silence is likely ours.
+  bool deaf(double now) const;
+
+  size_t backlog() const;  // waiting tasks and unsent transactions, for the round's width
+  struct Summary {
+    size_t jobs = 0, waiting = 0, live = 0, ready = 0, booting = 0, draining = 0, silent = 0;
+    double target = 0;
+  };
+  Summary summary(double now) const;
+  const std::vector<std::unique_ptr<Machine>>& machines() const { return machines_; }
+  const Job* find_job(const std::string& id) const;
+
+ private:
+  // -- state machines (the only places that change a state)
+  bool set_state(Job& job, JobState to);
+  bool set_state(Job& job, Attempt& a, AttemptState to);
+  bool set_state(Machine& m, MachineState to, const char* why);
+
+  // -- core.cpp
+  Job& add_job(const MirrorJob& row, const std::string& id, double now);
+  void abort_job(Job& job, uint64_t stamp);
+  void drop_if_over(Index id);
+  Machine& machine(const std::string& name, double now);
+  void end_attempt(Job& job, uint32_t task, Cause cause, double now, const char* why);
+  void vacate(Job& job, const Attempt& a);
+  void after_end(Job& job, const Attempt& a, double now);
+  void release(Job& job, uint32_t task);  // forget an attempt whose removal is durable
+  void stop_attempt(Job& job, Attempt& a, double grace);
+  void mark_dirty(Job& job, uint32_t task);
+  PendingTransaction chunk_transaction(Job& job, uint32_t chunk);
+  PendingTransaction closing_transaction(Job& job);
+  std::string new_mark();
+  void fail(const std::string& why);
+  bool busy(const Job& job) const;
+  void settle_chunk(Job& job, uint32_t chunk, const ledger::Result& r, double now);
+
+  // -- reports.cpp
+  void learn(Machine& m, const Report& r, double now);
+  void take_task(Machine& m, Job& job, Attempt& a, const TaskReport& t, double now);
+  void judge_error(Machine& m, Job& job, double now);
+  void orders_for(Machine& m, const Report& r, ReportReply& reply, double now);
+  void recall(Machine& m, double notice_s, double now);
+  void touch_image(Machine& m, const Job& job, double now);
+
+  // -- placement.cpp
+  void place(double now);
+  bool place_array(Job& job, double now, int& budget);
+  bool place_gang(Job& job, double now, int& budget);
+  Index choose(const Job& job, double now, Index zone_only) const;
+  bool may_run(const Job& job, const Machine& m, double now) const;
+  bool zone_allows(const Job& job, Index zone, uint32_t more) const;
+  bool within_limit(const Job& job, uint32_t count) const;
+  double score(const Job& job, const Machine& m) const;
+  void propose(Job& job, uint32_t task, uint64_t number, Index machine, double now);
+  void preempt_for(Job& job, double now);
+  bool may_stop(const Job& job, const Job& victim) const;
+  bool guaranteed(const Job& job) const;
+  void sort_jobs();
+
+  // -- fleet.cpp
+  struct TypeState {
+    Forecast forecast;
+    double target = 0;
+    Amounts demand, ordinary;  // ordinary: of jobs that may not use spot machines
+    double above_since = -1;
+    std::map<std::pair<Index, bool>, double> refused_until;  // (zone, spot)
+  };
+  void sample_demand(double now);
+  void plan_fleet(double now);
+  void plan_type(Index type, double now);
+  void watch_machines(double now);
+  void drain(Machine& m, double now, const char* why);
+  void condemn(Machine& m, const char* why);
+  bool counts(const Machine& m, double now) const;
+  Index home(const Job& job) const;
+  double silence_limit() const;
+  void drop_machine(Machine& m, double now, const char* why);
+  std::optional<PendingTransaction> fleet_transaction(double now);
+
+  Settings settings_;
+  std::vector<TypeInfo> types_;
+  uint64_t token_;
+  double started_;
+  bool lost_ = false;
+
+  Names job_names_, machine_names_, zone_names_, team_names_, image_names_, lot_names_, type_names_;
+  std::unordered_map<Index, std::unique_ptr<Job>> jobs_;
+  // By machine index. Machines that are gone stay as tombstones: late reports and lagging lists
+  // still name them, and must not bring them back.
+  std::vector<std::unique_ptr<Machine>> machines_;
+  std::vector<Index> order_;                        // open jobs, most urgent first
+  bool order_stale_ = true;
+  std::vector<Amounts> team_used_;  // by team index
+
+  uint64_t next_txn_ = 0, next_hire_ = 0;
+  struct Flight {
+    Index job = kNone;
+    uint32_t chunk = 0;
+    enum class Kind : uint8_t { chunk, closing, sweep, fleet } kind = Kind::chunk;
+    std::vector<uint32_t> started, ended;
+    ledger::Transaction txn;
+    double repeat_at = -1;  // outcome unknown: goes out again, unchanged
+    bool sent_again = false;
+  };
+  std::map<uint64_t, Flight> flights_;
+  std::set<std::pair<Index, uint32_t>> dirty_;  // (job, chunk) to be written
+  std::set<Index> closing_;                     // jobs all of whose tasks are done
+  std::set<Index> sweep_;                       // over, nothing left on machines, chunks to delete
+
+  std::vector<TypeState> type_state_;
+  double next_sample_ = 0;
+  double hire_at_ = 0, hire_retry_at_ = 0;
+  std::deque<Hire> hires_;  // wanted and unanswered, oldest first
+  bool hire_in_flight_ = false;
+  double fleet_written_ = -1e9;
+  bool fleet_dirty_ = false, fleet_in_flight_ = false;
+  std::map<std::string, uint64_t> fleet_stamps_;
+};
+
+}  // namespace rookdyke
--- /dev/null
+++ b/src/core/fleet.cpp
@@ -0,0 +1,406 @@
+// Demand, the target, and the machines: rent ahead, drain after a lull, return.
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/core.h"
+
+namespace rookdyke {
+
+using nlohmann::json;
+
+namespace {
+
+// A machine still booting after this many boot times no longer counts towards the target; it is
+// returned later (tuning.boot_patience), since some take several times as long.
+constexpr double kLateBoot = 1.8;
+// A new leader's machines get this long to find it before their silence means anything: a worker
+// needs up to 4 s of no answer, 1 s a node and one report interval.
+constexpr double kTakeoverGrace = 8;
+// The design's rented list is written at most this often.
+constexpr double kFleetWriteEvery = 2;
+constexpr size_t kFleetPerRow = 80;
+
+double ratio(const Amounts& need, const Amounts& size, double safe) {
+  double r = 0;
+  if (size.cpus > 0) r = std::max(r, need.cpus / (safe * size.cpus));
+  if (size.gpus > 0) r = std::max(r, need.gpus / (safe * size.gpus));
+  if (size.mem > 0) r = std::max(r, need.mem / (safe * size.mem));
+  return r;
+}
+
+}  // namespace
+
+void Core::set_prices(const std::vector<TypeInfo>& types) {
+  for (const TypeInfo& t : types)
+    if (const Index i = type_names_.find(t.name); i != kNone) {
+      types_[i].price = t.price;
+      types_[i].spot_price = t.spot_price;
+    }
+}
+
+double Core::silence_limit() const {
+  if (settings_.tuning.silence_s > 0) return settings_.tuning.silence_s;
+  return std::max(3 * settings_.report_s, std::min(settings_.lease_s / 2, 12.0));
+}
+
+// The type whose machines a job's demand is counted for: the cheapest share of a machine.
+Index Core::home(const Job& job) const {
+  Index best = kNone;
+  double best_price = 0;
+  for (Index t = 0; t < types_.size(); ++t) {
+    if (!job.types.empty() && !job.types[t]) continue;
+    if (!job.spec.each.fits(types_[t].size)) continue;
+    const double price = ratio(job.spec.each, types_[t].size, 1) *
+                         (job.spec.spot ? types_[t].spot_price : types_[t].price);
+    if (best == kNone || price < best_price) {
+      best = t;
+      best_price = price;
+    }
+  }
+  return best;
+}
+
+void Core::sample_demand(double now) {
+  for (TypeState& t : type_state_) t.demand = t.ordinary = {};
+  std::vector<Amounts> asked(team_names_.size());
+  for (const auto& [i, job] : jobs_) {
+    if (job->over()) continue;
+    const Index t = home(*job);
+    if (t == kNone) continue;
+    const double n = job->tasks() - job->done_count;
+    Amounts d = job->spec.each.times(n);
+    // What a team's limit keeps from running is no demand for machines.
+    for (const TeamInfo& team : settings_.teams) {
+      if (team.name != job->spec.team) continue;
+      Amounts& sum = asked[job->team];
+      double share = 1;
+      if (team.cpus_max > 0 && d.cpus > 0)
+        share = std::min(share, std::max(0.0, team.cpus_max - sum.cpus) / d.cpus);
+      if (team.gpus_max > 0 && d.gpus > 0)
+        share = std::min(share, std::max(0.0, team.gpus_max - sum.gpus) / d.gpus);
+      d = d.times(share);
+      sum += d;
+    }
+    type_state_[t].demand += d;
+    if (!job->spec.spot) type_state_[t].ordinary += d;
+  }
+  for (Index t = 0; t < types_.size(); ++t) {
+    TypeState& s = type_state_[t];
+    s.forecast.sample(now, s.demand);
+    s.target = s.forecast.target(types_[t].size);
+    const Amounts spare = s.forecast.spare();
+    spdlog::debug("type {}: demand {:.0f} cpus {:.0f} gpus {:.0f} gb, ahead {:.0f}/{:.0f}/{:.0f}, "
+                  "spare {:.0f}/{:.0f}/{:.0f}, target {:.0f}",
+                  types_[t].name, s.demand.cpus, s.demand.gpus, s.demand.mem,
+                  s.forecast.ahead().cpus, s.forecast.ahead().gpus, s.forecast.ahead().mem,
+                  spare.cpus, spare.gpus, spare.mem, s.target);
+  }
+}
+
+bool Core::counts(const Machine& m, double now) const {
+  if (m.cordoned || m.recall_at >= 0 || m.returning) return false;
+  if (m.state == MachineState::booting) {
+    const double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
+    return now - m.hired_at <= kLateBoot * boot;
+  }
+  if (m.state != MachineState::ready) return false;
+  return now - m.last_report <= silence_limit();
+}
+
+void Core::drain(Machine& m, double now, const char* why) {
+  if (m.state != MachineState::ready) return;
+  if (set_state(m, MachineState::draining, why)) m.draining_since = now;
+}
+
+void Core::condemn(Machine& m, const char* why) { set_state(m, MachineState::condemned, why); }
+
+void Core::plan_type(Index ti, double now) {
+  TypeState& s = type_state_[ti];
+  const TypeInfo& type = types_[ti];
+  double total = 0, ordinary = 0;
+  std::map<Index, double> per_zone;
+  for (const std::string& z : type.zones) per_zone[zone_names_.find(z)] = 0;
+  for (const auto& mp : machines_) {
+    const Machine& m = *mp;
+    if (m.type != ti || !counts(m, now)) continue;
+    ++total;
+    if (!m.spot) ++ordinary;
+    ++per_zone[m.zone];
+  }
+  double asked = 0;
+  for (const Hire& h : hires_)
+    if (h.type == type.name) {
+      asked += h.count;
+      if (!h.spot) ordinary += h.count;
+      per_zone[zone_names_.find(h.zone)] += h.count;
+    }
+  total += asked;
+  // Exception to the design's one count per type: spot machines cannot serve jobs that may not
+  // use them, so those jobs' demand is a floor for the ordinary ones.
+  const double ordinary_need =
+      std::ceil(ratio(s.ordinary, type.size, settings_.tuning.safe_fraction) - 1e-9);
+  double gap = std::max(s.target - total, ordinary_need - ordinary);
+  if (gap <= 0) {
+    if (total > s.target) {
+      if (s.above_since < 0) s.above_since = now;
+    } else {
+      s.above_since = -1;
+    }
+    return;
+  }
+  s.above_since = -1;
+  // A machine on its way out is the fastest machine to be had.
+  for (const auto& mp : machines_) {
+    Machine& m = *mp;
+    if (gap <= 0) return;
+    if (m.type != ti || m.state != MachineState::draining || m.cordoned || m.recall_at >= 0)
+      continue;
+    if (ordinary < ordinary_need && m.spot && total >= s.target) continue;
+    if (set_state(m, MachineState::ready, "needed again")) --gap;
+  }
+  if (gap <= 0 || asked > 0 || now < hire_at_) return;
+  const bool spot_demand = ratio(s.demand, type.size, 1) > ratio(s.ordinary, type.size, 1) + 1e-9;
+  auto pick_zone = [&](bool spot) {
+    Index best = kNone;
+    for (const auto& [z, n] : per_zone) {
+      auto r = s.refused_until.find({z, spot});
+      if (r != s.refused_until.end() && now < r->second) continue;
+      if (best == kNone || n < per_zone.at(best)) best = z;
+    }
+    return best;
+  };
+  bool spot = spot_demand && ordinary >= ordinary_need;
+  double count = spot ? gap : std::min(gap, std::max(1.0, ordinary_need - ordinary));
+  if (!spot_demand) count = gap;
+  Index zone = pick_zone(spot);
+  if (zone == kNone && (spot || (spot_demand && total < s.target))) {
+    spot = !spot;
+    count = gap;
+    zone = pick_zone(spot);
+  }
+  if (zone == kNone) return;
+  // Spread over the zones, so that a cut or a wave takes less.
+  count = std::min({count, 50.0, std::max(1.0, std::ceil(gap / std::max<size_t>(1, per_zone.size())))});
+  Hire h;
+  // Invariant 5: the token makes the name unique among leaders, the number within this one.
+  h.name = "h-" + std::to_string(token_) + "-" + std::to_string(++next_hire_);
+  h.type = type.name;
+  h.zone = zone_names_.name(zone);
+  h.spot = spot;
+  h.count = static_cast<int>(count);
+  hires_.push_back(h);
+  hire_at_ = now + settings_.tuning.hire_every_s;
+}
+
+void Core::plan_fleet(double now) {
+  for (Index t = 0; t < types_.size(); ++t) plan_type(t, now);
+  // After the lull, the emptiest machine is drained; one per sample.
+  for (Index t = 0; t < types_.size(); ++t) {
+    TypeState& s = type_state_[t];
+    if (s.above_since < 0 || now - s.above_since < settings_.tuning.lull_s) continue;
+    double ordinary = 0;
+    for (const auto& m : machines_)
+      if (m->type == t && !m->spot && counts(*m, now)) ++ordinary;
+    const double need =
+        std::ceil(ratio(s.ordinary, types_[t].size, settings_.tuning.safe_fraction) - 1e-9);
+    Machine* emptiest = nullptr;
+    double least = 0;
+    for (const auto& mp : machines_) {
+      Machine& m = *mp;
+      if (m.type != t || m.state != MachineState::ready || !counts(m, now)) continue;
+      if (!m.spot && ordinary <= need) continue;
+      // Of equally empty ones, the dearer goes first.
+      const double filled = ratio(m.used, types_[t].size, 1) + (m.spot ? 1e-3 : 0);
+      if (!emptiest || filled < least) {
+        emptiest = &m;
+        least = filled;
+      }
+    }
+    if (emptiest) drain(*emptiest, now, "lull");
+    s.above_since += settings_.tuning.sample_s;
+  }
+}
+
+void Core::watch_machines(double now) {
+  const double quiet = silence_limit();
+  for (const auto& mp : machines_) {
+    Machine& m = *mp;
+    const double silent = now - m.last_report;
+    switch (m.state) {
+      case MachineState::booting: {
+        const double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
+        if (m.was_up) {
+          // The ledger has tasks on it, so it was up under a predecessor.
+          if (silent > quiet + kTakeoverGrace) condemn(m, "not heard since the takeover");
+        } else if (m.unlisted_at >= 0 && now - m.hired_at > 2 * settings_.list_lag_s + 5) {
+          condemn(m, "rented under a predecessor and not listed");
+        } else if (now - m.hired_at > settings_.tuning.boot_patience * boot) {
+          condemn(m, "never came up");
+        }
+        break;
+      }
+      case MachineState::ready:
+      case MachineState::draining:
+        if (m.recall_at >= 0 && now > m.recall_at + 1 && silent > 1.5 * settings_.report_s) {
+          condemn(m, "taken back");
+        } else if (silent > quiet) {
+          // Silence proves nothing; the cloud's answer to returning it does (invariant 3).
+          condemn(m, "silent");
+        } else if (m.unlisted_at >= 0 && silent > 2 * settings_.report_s) {
+          condemn(m, "silent and not listed any more");
+        } else if (m.state == MachineState::draining) {
+          if (m.tasks.empty() && !m.strays) {
+            condemn(m, "drained");
+          } else if (now - m.draining_since > settings_.tuning.drain_deadline_s) {
+            for (const auto& [j, t] : m.tasks) {
+              Job& job = *jobs_.at(j);
+              for (auto& [task, a] : job.attempts)
+                if (job.gang() || task == t) stop_attempt(job, a, job.spec.save_s + 1);
+            }
+          }
+        }
+        break;
+      case MachineState::condemned:
+      case MachineState::gone:
+        break;
+    }
+  }
+}
+
+std::optional<Hire> Core::next_hire(double now) {
+  if (lost_ || hire_in_flight_ || hires_.empty() || now < hire_retry_at_) return std::nullopt;
+  hire_in_flight_ = true;
+  return hires_.front();
+}
+
+void Core::on_hire(const Hire& hire, CloudOutcome outcome, const std::vector<std::string>& names,
+                   double now) {
+  hire_in_flight_ = false;
+  if (hires_.empty() || hires_.front().name != hire.name) return;
+  const Index t = type_names_.find(hire.type);
+  const Index z = zone_names_.intern(hire.zone);
+  switch (outcome) {
+    case CloudOutcome::done:
+      for (const std::string& n : names) {
+        Machine& m = machine(n, now);
+        if (m.state != MachineState::booting || m.heard) continue;
+        m.type = t;
+        m.zone = z;
+        m.spot = hire.spot;
+        m.hired_at = now;
+      }
+      spdlog::info("hired {} of {} {} {} machines in {}", names.size(), hire.count,
+                   hire.spot ? "spot" : "ordinary", hire.type, hire.zone);
+      hires_.pop_front();
+      fleet_dirty_ = true;
+      if (names.size() < static_cast<size_t>(hire.count) && t != kNone)
+        type_state_[t].refused_until[{z, hire.spot}] = now + settings_.tuning.refusal_s;
+      break;
+    case CloudOutcome::no_capacity:
+      spdlog::info("no {} {} machines in {}", hire.spot ? "spot" : "ordinary", hire.type,
+                   hire.zone);
+      hires_.pop_front();
+      if (t != kNone)
+        type_state_[t].refused_until[{z, hire.spot}] = now + settings_.tuning.refusal_s;
+      break;
+    case CloudOutcome::refused:
+      // Not executed. A copy of it may be under way from an earlier try, so it keeps its name.
+    case CloudOutcome::unknown:
+      hire_retry_at_ = now + settings_.tuning.hire_every_s;
+      break;
+  }
+}
+
+std::vector<std::string> Core::next_return(double now) {
+  std::vector<std::string> out;
+  if (lost_) return out;
+  for (const auto& m : machines_) {
+    if (m->state != MachineState::condemned || m->returning || now < m->return_after) continue;
+    m->returning = true;
+    out.push_back(m->name);
+    if (out.size() == 100) break;
+  }
+  return out;
+}
+
+void Core::drop_machine(Machine& m, double now, const char* why) {
+  if (!set_state(m, MachineState::gone, why)) return;
+  const auto here = m.tasks;
+  for (const auto& [j, t] : here) end_attempt(*jobs_.at(j), t, Cause::none, now, why);
+  fleet_dirty_ = true;
+}
+
+void Core::on_return(const std::vector<std::string>& names, CloudOutcome outcome, double now) {
+  for (const std::string& n : names) {
+    const Index i = machine_names_.find(n);
+    if (i == kNone) continue;
+    Machine& m = *machines_[i];
+    m.returning = false;
+    if (outcome == CloudOutcome::done)
+      drop_machine(m, now, "returned");
+    else
+      m.return_after = now + 1;
+  }
+}
+
+void Core::on_machine_list(const std::vector<ListedMachine>& list, double asked, double now) {
+  std::set<Index> seen;
+  for (const ListedMachine& l : list) {
+    Machine& m = machine(l.name, now);
+    seen.insert(m.index);
+    if (m.state == MachineState::gone) continue;  // the list lags
+    m.listed = true;
+    m.unlisted_at = -1;
+    if (m.type == kNone) {
+      m.type = type_names_.find(l.type);
+      m.zone = zone_names_.intern(l.zone);
+      m.spot = l.spot;
+    }
+    if (!m.heard) m.hired_at = std::min(m.hired_at, now - l.age_s);
+    if (l.state == ListedMachine::State::running && !m.heard) m.was_up = true;
+    if (l.state == ListedMachine::State::failed && m.state != MachineState::condemned)
+      condemn(m, "failed");
+  }
+  for (const auto& mp : machines_) {
+    Machine& m = *mp;
+    if (m.state == MachineState::gone || seen.count(m.index)) continue;
+    // A list may be older than the one before it: an absence counts only when the machine was
+    // listed before, or is older than any list can lag.
+    if (m.listed || asked - m.hired_at > 2 * settings_.list_lag_s + 1) {
+      if (m.unlisted_at < 0) m.unlisted_at = now;
+    }
+  }
+}
+
+std::optional<PendingTransaction> Core::fleet_transaction(double now) {
+  if (!fleet_dirty_ || fleet_in_flight_ || now - fleet_written_ < kFleetWriteEvery)
+    return std::nullopt;
+  fleet_dirty_ = false;
+  fleet_in_flight_ = true;
+  fleet_written_ = now;
+  const uint64_t id = ++next_txn_;
+  Flight f;
+  f.kind = Flight::Kind::fleet;
+  f.txn.mark = std::to_string(token_) + "." + std::to_string(id);
+  f.txn.conditions = {{ledger::kLeaderKey, token_}};
+  std::vector<json> rows(1, json::array());
+  for (const auto& m : machines_) {
+    if (m->state == MachineState::gone || m->type == kNone) continue;
+    if (rows.back().size() >= kFleetPerRow) rows.push_back(json::array());
+    rows.back().push_back({m->name, types_[m->type].name, zone_names_.name(m->zone), m->spot});
+  }
+  for (size_t n = 0; n < rows.size() && n < settings_.txn_ops; ++n) {
+    const std::string key = ledger::fleet_key(static_cast<uint32_t>(n));
+    auto known = fleet_stamps_.find(key);
+    f.txn.conditions.push_back({key, known == fleet_stamps_.end() ? 0 : known->second});
+    f.txn.changes.push_back({key, false, {{"machines", rows[n]}, {"w", f.txn.mark}}, 0});
+  }
+  PendingTransaction p{id, f.txn, false};
+  flights_[id] = std::move(f);
+  return p;
+}
+
+}  // namespace rookdyke
--- /dev/null
+++ b/src/core/ledger.h
@@ -0,0 +1,116 @@
+#pragma once
+// What must be durable, and in which rows of the state service it lies.
+//
+//   rd/leader        who leads; hangs on the leader's lease, its stamp is the token
+//   rd/types         machine sizes, so that every node decides 422 alike
+//   rd/j/<job>       a job: its description while open, its final state for ever
+//   rd/t/<job>/<n>   the tasks [n*per, (n+1)*per) of a job: which are done, which attempts may
+//                    be on which machine, the highest attempt number ever used
+//   rd/f/<n>         names of rented machines (the design's rented list)
+//
+// A job's tasks are chunked because jobs go to 100,000 tasks and a value has a size limit.
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+
+namespace rookdyke::ledger {
+
+using nlohmann::json;
+
+inline constexpr const char* kPrefix = "rd/";
+inline constexpr const char* kLeaderKey = "rd/leader";
+inline constexpr const char* kTypesKey = "rd/types";
+inline constexpr const char* kJobPrefix = "rd/j/";
+inline constexpr const char* kTaskPrefix = "rd/t/";
+inline constexpr const char* kFleetPrefix = "rd/f/";
+
+std::string job_key(const std::string& job);
+std::string chunk_key(const std::string& job, uint32_t chunk);
+std::string fleet_key(uint32_t n);
+
+// Tasks of a chunk as sorted disjoint closed ranges.
+class TaskSet {
+ public:
+  void add(uint32_t task);
+  bool has(uint32_t task) const;
+  uint32_t count() const;
+  const std::vector<std::pair<uint32_t, uint32_t>>& ranges() const { return ranges_; }
+  json encode() const;
+  static TaskSet decode(const json& j);
+
+ private:
+  std::vector<std::pair<uint32_t, uint32_t>> ranges_;
+};
+
+// An attempt that may be on a machine.
+struct Live {
+  uint32_t task = 0;
+  uint64_t attempt = 0;
+  std::string machine;
+  uint64_t session = 0;
+};
+
+struct Chunk {
+  TaskSet done;
+  std::vector<Live> live;
+  uint64_t top = 0;  // highest attempt number used in this chunk
+  std::string mark;  // names the transaction that wrote it
+};
+
+enum class Standing : uint8_t { open, done, aborted };
+
+struct JobRow {
+  Standing standing = Standing::open;
+  uint32_t tasks = 0;
+  uint32_t per = 0;            // tasks per chunk
+  double at_s = 0;             // time of day of its acceptance, for order only
+  std::optional<JobSpec> spec; // dropped at the end
+  std::string mark;
+};
+
+// How many tasks a chunk takes so that its row fits a value of that many bytes.
+uint32_t tasks_per_chunk(size_t value_bytes);
+
+json encode(const JobRow& row);
+json encode(const Chunk& chunk);
+std::optional<JobRow> decode_job(const std::string& id, const json& v);
+std::optional<Chunk> decode_chunk(const json& v);
+
+json encode_types(const std::vector<TypeInfo>& types);
+std::vector<TypeInfo> decode_types(const json& v);
+
+// A transaction in the core's terms; the state client puts it into the protocol's.
+struct Condition {
+  std::string key;
+  uint64_t stamp = 0;  // 0: must not exist
+};
+struct Change {
+  std::string key;
+  bool erase = false;
+  json value;
+  uint64_t lease = 0;  // 0: none
+};
+struct Transaction {
+  std::vector<Condition> conditions;
+  std::vector<Change> changes;
+  std::string mark;  // also inside the first written value
+};
+
+enum class Outcome : uint8_t {
+  applied,   // it was executed
+  conflict,  // a condition failed; it never will be executed
+  refused,   // it was not executed
+  unknown    // it may have been executed, or may be later
+};
+struct Result {
+  Outcome outcome = Outcome::unknown;
+  uint64_t revision = 0;
+  std::vector<std::string> failed;
+};
+
+}  // namespace rookdyke::ledger
--- /dev/null
+++ b/src/core/mirror.h
@@ -0,0 +1,66 @@
+#pragma once
+// A node's copy of the ledger's rows, fed by the watch. Polls are answered from it, but only
+// after a read barrier (invariant 6); a new leader is built from it.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "core/ledger.h"
+
+namespace rookdyke {
+
+struct MirrorChunk {
+  uint64_t stamp = 0;
+  ledger::Chunk chunk;
+};
+
+struct MirrorJob {
+  uint64_t stamp = 0;  // 0: only its chunks are known
+  ledger::JobRow row;
+  std::map<uint32_t, MirrorChunk> chunks;
+};
+
+struct JobAnswer {
+  ledger::Standing standing = ledger::Standing::open;
+  uint32_t done = 0, running = 0;
+};
+
+class Mirror {
+ public:
+  // One row as read or watched; an older stamp than the known one changes nothing.
+  void put(const std::string& key, const nlohmann::json& value, uint64_t stamp);
+  void erase(const std::string& key, uint64_t stamp);
+
+  // A full read: begin, put every row, end drops what was not put.
+  void begin_reload();
+  void end_reload();
+
+  std::optional<JobAnswer> answer(const std::string& job) const;
+  const MirrorJob* job(const std::string& id) const;
+  const std::unordered_map<std::string, MirrorJob>& jobs() const { return jobs_; }
+
+  const std::string& leader() const { return leader_; }  // label, empty: none
+  uint64_t leader_stamp() const { return leader_stamp_; }
+  const std::vector<TypeInfo>& types() const { return types_; }
+  uint64_t types_stamp() const { return types_stamp_; }
+  const std::map<std::string, std::pair<uint64_t, nlohmann::json>>& fleet() const { return fleet_; }
+
+ private:
+  // Splits rd/t/<job>/<n>.
+  static bool split_chunk_key(const std::string& key, std::string& job, uint32_t& chunk);
+
+  std::unordered_map<std::string, MirrorJob> jobs_;
+  std::string leader_;
+  uint64_t leader_stamp_ = 0;
+  std::vector<TypeInfo> types_;
+  uint64_t types_stamp_ = 0;
+  std::map<std::string, std::pair<uint64_t, nlohmann::json>> fleet_;
+  bool reloading_ = false;
+  std::unordered_set<std::string> seen_;  // keys of the running reload
+};
+
+}  // namespace rookdyke
--- /dev/null
+++ b/src/core/reports.cpp
@@ -0,0 +1,249 @@
+// What a worker's report proves about the tasks on its machine, and what it is answered with.
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "core/core.h"
+
+namespace rookdyke {
+
+namespace {
+
+// Errors of this many distinct jobs without a success between them condemn a machine.
+constexpr size_t kSickAfter = 2;
+// After its first error a machine takes no new work for this long, unless it succeeds.
+constexpr double kSuspectFor = 20;
+// A job that failed on this many machines is taken for faulty itself.
+constexpr size_t kFaultyJobAfter = 3;
+// More than stow_s, so that a save begun in time is not cut short by rounding.
+constexpr double kGraceMargin = 1;
+
+AttemptState phase(Seen s) {
+  switch (s) {
+    case Seen::pulling:
+      return AttemptState::pulling;
+    case Seen::gathering:
+      return AttemptState::gathering;
+    case Seen::running:
+      return AttemptState::running;
+    case Seen::saving:
+      return AttemptState::saving;
+    case Seen::exited:
+      return AttemptState::ended;
+  }
+  return AttemptState::ended;
+}
+
+}  // namespace
+
+void Core::learn(Machine& m, const Report& r, double now) {
+  if (m.addr != r.addr) m.addr = r.addr;
+  m.type = type_names_.find(r.type);
+  m.zone = zone_names_.intern(r.zone);
+  m.spot = r.spot;
+  if (!m.heard) {
+    m.heard = true;
+    spdlog::debug("machine {} reports for the first time, {:.1f} s after it was hired or met",
+                  m.name, now - m.hired_at);
+  }
+  m.was_up = true;
+  m.last_report = now;
+  m.session = r.session;
+  m.seq = r.seq;
+  if (m.state == MachineState::booting) set_state(m, MachineState::ready, "its worker reports");
+}
+
+void Core::touch_image(Machine& m, const Job& job, double now) {
+  m.images[job.image] = {now, job.spec.image_gb};
+  if (m.type == kNone || types_[m.type].cache_gb <= 0) return;
+  // The worker keeps the most recently used images; forget what must have fallen out.
+  double sum = 0;
+  for (const auto& [i, e] : m.images) sum += e.second;
+  while (sum > types_[m.type].cache_gb && m.images.size() > 1) {
+    auto oldest = std::min_element(m.images.begin(), m.images.end(), [](auto& a, auto& b) {
+      return a.second.first < b.second.first;
+    });
+    sum -= oldest->second.second;
+    m.images.erase(oldest);
+  }
+}
+
+void Core::judge_error(Machine& m, Job& job, double now) {
+  job.erred_on.insert(m.index);
+  ++job.errors;
+  if (job.erred_on.size() >= kFaultyJobAfter || job.errors > 2 * kFaultyJobAfter) {
+    // It fails everywhere: its own mistake. It waits ever longer and blames no machine.
+    const double wait = std::min(60.0, 2.0 * static_cast<double>(1u << std::min(job.errors, 6u)));
+    job.not_before = std::max(job.not_before, now + wait);
+    for (Index i : job.erred_on) machines_[i]->err_jobs.erase(job.id);
+    return;
+  }
+  job.not_before = std::max(job.not_before, now + 0.5);
+  m.err_jobs.insert(job.id);
+  m.suspect_until = now + kSuspectFor;
+  if (m.err_jobs.size() >= kSickAfter && !m.cordoned) {
+    spdlog::warn("machine {} failed tasks of {} jobs in a row: cordoned", m.name,
+                 m.err_jobs.size());
+    m.cordoned = true;
+    drain(m, now, "sick");
+  }
+}
+
+void Core::take_task(Machine& m, Job& job, Attempt& a, const TaskReport& t, double now) {
+  if (a.state == AttemptState::ended || a.state == AttemptState::proposed) return;
+  if (t.seen != Seen::exited) {
+    const AttemptState to = phase(t.seen);
+    if (to == AttemptState::running && a.state != AttemptState::running) a.running_since = now;
+    if (a.state == AttemptState::placed || to >= a.state) set_state(job, a, to);
+    if (t.seen != Seen::pulling) touch_image(m, job, now);
+    return;
+  }
+  if (t.cause == Cause::done) {
+    touch_image(m, job, now);
+    m.err_jobs.clear();
+    m.suspect_until = 0;
+  } else if (t.cause == Cause::error) {
+    judge_error(m, job, now);
+  }
+  if (t.cause != Cause::done && t.cause != Cause::halted)
+    spdlog::info("task {}/{} attempt {} on {} ended: cause {}", job.spec.id, a.task, a.number,
+                 m.name, static_cast<int>(t.cause));
+  end_attempt(job, a.task, t.cause, now, "its worker reports the exit");
+}
+
+void Core::recall(Machine& m, double notice_s, double now) {
+  if (m.recall_at < 0) {
+    spdlog::info("machine {} will be taken back in {:.1f} s, {} tasks on it", m.name, notice_s,
+                 m.tasks.size());
+    m.cordoned = true;
+    drain(m, now, "notice");
+  }
+  m.recall_at = now + notice_s;
+  for (const auto& [j, t] : m.tasks) {
+    Job& job = *jobs_.at(j);
+    Attempt& a = job.attempts.at(t);
+    const bool can_save = job.spec.checkpoint_s > 0 && a.state == AttemptState::running;
+    if (can_save) {
+      if (job.spec.save_s + kGraceMargin < notice_s)
+        stop_attempt(job, a, job.spec.save_s + kGraceMargin);
+    } else if (a.state != AttemptState::running && a.state != AttemptState::saving) {
+      stop_attempt(job, a, 0);  // nothing to lose yet: let it start elsewhere
+    }
+    // A running task without checkpoints may still end in time; stopping it would lose it surely.
+  }
+}
+
+ReportReply Core::on_report(const Report& r, double now) {
+  ReportReply reply;
+  if (r.token > token_) {
+    // Invariant 2: somebody newer commands this worker.
+    fail("a worker has seen token " + std::to_string(r.token));
+    reply.verdict = ReportReply::Verdict::deposed;
+    return reply;
+  }
+  Machine& m = machine(r.machine, now);
+  if (m.state == MachineState::gone) return reply;  // a late report of a returned machine
+  if (m.heard && std::make_pair(r.session, r.seq) <= std::make_pair(m.session, m.seq)) {
+    // Held back on its way: its task list is as old as it is, and its answer goes nowhere.
+    reply.verdict = ReportReply::Verdict::old;
+    return reply;
+  }
+  // Invariant 3, "its tenure rose": the worker killed everything of earlier sessions.
+  const auto here = m.tasks;
+  for (const auto& [j, t] : here) {
+    Job& job = *jobs_.at(j);
+    if (auto a = job.attempts.find(t); a != job.attempts.end() && a->second.session < r.session)
+      end_attempt(job, t, Cause::none, now, "the worker's session rose");
+  }
+  learn(m, r, now);
+  if (r.notice_s >= 0) recall(m, r.notice_s, now);
+  orders_for(m, r, reply, now);
+  return reply;
+}
+
+void Core::orders_for(Machine& m, const Report& r, ReportReply& reply, double now) {
+  // A worker that has seen our token executes no older order any more; only then does its
+  // silence about a task mean anything (invariant 3).
+  const bool binding = r.token == token_;
+  std::set<std::pair<Index, uint32_t>> listed;
+  std::vector<Order> stops, clears, runs;
+  m.strays = false;
+  for (const TaskReport& t : r.tasks) {
+    const Index j = job_names_.find(t.job);
+    auto it = j == kNone ? jobs_.end() : jobs_.find(j);
+    Attempt* a = nullptr;
+    if (it != jobs_.end()) {
+      auto f = it->second->attempts.find(t.task);
+      if (f != it->second->attempts.end() && f->second.number == t.attempt &&
+          machines_[f->second.machine].get() == &m)
+        a = &f->second;
+    }
+    if (!a) {
+      // Unknown: removed durably before (its exit counts, invariant 4), or of a job that is over.
+      if (t.seen == Seen::exited) {
+        clears.push_back({Verb::clear, t.job, t.task, t.attempt, 0});
+      } else {
+        stops.push_back({Verb::stop, t.job, t.task, t.attempt, 0});
+        m.strays = true;
+      }
+      continue;
+    }
+    const Index job_index = it->second->id;
+    listed.insert({job_index, t.task});
+    Job& job = *it->second;
+    take_task(m, job, *a, t, now);  // may drop the job when it is over
+    auto still = jobs_.find(job_index);
+    if (still == jobs_.end()) continue;
+    auto f = still->second->attempts.find(t.task);
+    if (f == still->second->attempts.end() || f->second.number != t.attempt) continue;
+    Attempt& now_a = f->second;
+    if (now_a.state == AttemptState::ended || !now_a.stop) continue;
+    if (now_a.state != AttemptState::saving || now_a.grace_s <= 0)
+      stops.push_back({Verb::stop, t.job, t.task, t.attempt, now_a.grace_s});
+  }
+  const auto here = m.tasks;
+  for (const auto& [j, t] : here) {
+    if (listed.count({j, t})) continue;
+    Job& job = *jobs_.at(j);
+    Attempt& a = job.attempts.at(t);
+    if (a.state == AttemptState::proposed) continue;
+    if (a.state != AttemptState::placed) {
+      // Reported before and not any more: it left without a word of ours.
+      if (binding) end_attempt(job, t, Cause::none, now, "its worker no longer lists it");
+      continue;
+    }
+    if (a.stop) {
+      // Never ordered by us, or ordered in the answer to an earlier report, which this one
+      // settles: the worker either executed it or dropped the answer.
+      if (binding) end_attempt(job, t, Cause::none, now, "not there, and no order for it is left");
+      continue;
+    }
+    if (job.over()) continue;
+    if (job.gang() && std::any_of(job.attempts.begin(), job.attempts.end(), [](const auto& e) {
+          return e.second.state == AttemptState::proposed;
+        }))
+      continue;  // all or none: the whole gang is durable first
+    runs.push_back({Verb::run, job.spec.id, t, a.number, 0});
+    a.ordered_session = r.session;
+    a.ordered_seq = r.seq;
+  }
+  // Room is made before it is used; a forgotten attempt is cleared before its task's next one.
+  for (auto* list : {&clears, &stops, &runs})
+    reply.orders.insert(reply.orders.end(), list->begin(), list->end());
+  if (reply.orders.size() > 400) reply.orders.resize(400);  // 64 KiB; the rest rides next time
+}
+
+bool Core::deaf(double now) const {
+  size_t heard = 0, silent = 0;
+  const double limit = std::max(2.2 * settings_.report_s, 5.0);
+  for (const auto& m : machines_) {
+    if (m->state == MachineState::gone || !m->heard) continue;
+    if (m->recall_at >= 0 && now > m->recall_at) continue;
+    ++heard;
+    if (now - m->last_report > limit) ++silent;
+  }
+  return silent >= 2 && silent * 10 >= heard * 7;
+}
+
+}  // namespace rookdyke
--- /dev/null
+++ b/src/core/states.cpp
@@ -0,0 +1,69 @@
+#include "core/states.h"
+
+#include <array>
+
+namespace rookdyke {
+
+std::string_view to_string(JobState s) {
+  static constexpr std::array<std::string_view, 4> kNames{"open", "closing", "done", "aborted"};
+  return kNames[static_cast<size_t>(s)];
+}
+std::string_view to_string(AttemptState s) {
+  static constexpr std::array<std::string_view, 7> kNames{"proposed", "placed", "pulling", "gathering",
+                                                          "running",  "saving", "ended"};
+  return kNames[static_cast<size_t>(s)];
+}
+std::string_view to_string(MachineState s) {
+  static constexpr std::array<std::string_view, 5> kNames{"booting", "ready", "draining",
+                                                          "condemned", "gone"};
+  return kNames[static_cast<size_t>(s)];
+}
+
+bool allowed(JobState from, JobState to) {
+  switch (from) {
+    case JobState::open:
+      return to == JobState::closing || to == JobState::aborted;
+    case JobState::closing:  // the closing transaction may still lose to an abort
+      return to == JobState::done || to == JobState::aborted || to == JobState::open;
+    case JobState::done:
+    case JobState::aborted:
+      return false;
+  }
+  return false;
+}
+
+bool allowed(AttemptState from, AttemptState to) {
+  switch (from) {
+    case AttemptState::proposed:
+      return to == AttemptState::placed;
+    case AttemptState::placed:
+    case AttemptState::pulling:
+    case AttemptState::gathering:
+    case AttemptState::running:
+    case AttemptState::saving:
+      // A new leader meets an attempt in any phase, so all reported phases follow one another.
+      return to >= AttemptState::pulling;
+    case AttemptState::ended:
+      return false;
+  }
+  return false;
+}
+
+bool allowed(MachineState from, MachineState to) {
+  switch (from) {
+    case MachineState::booting:
+      return to == MachineState::ready || to == MachineState::condemned || to == MachineState::gone;
+    case MachineState::ready:
+      return to == MachineState::draining || to == MachineState::condemned ||
+             to == MachineState::gone;
+    case MachineState::draining:
+      return to == MachineState::ready || to == MachineState::condemned || to == MachineState::gone;
+    case MachineState::condemned:
+      return to == MachineState::gone;
+    case MachineState::gone:
+      return false;
+  }
+  return false;
+}
+
+}  // namespace rookdyke
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,60 @@
+// rookdyked: one controller.
+
+#include <malloc.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+
+#include "config/config.h"
+#include "daemon/node.h"
+
+namespace {
+
+void set_up_log(const std::string& label) {
+  auto log = spdlog::stderr_logger_mt("rookdyked");
+  log->set_pattern("%H:%M:%S.%e %l " + label + " %v");
+  const char* level = std::getenv("LOG_LEVEL");
+  log->set_level(level ? spdlog::level::from_str(level) : spdlog::level::info);
+  spdlog::set_default_logger(log);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  // Few arenas: a thread per connection would otherwise cost an arena each.
+  mallopt(M_ARENA_MAX, 2);
+  mallopt(M_TRIM_THRESHOLD, 1 << 20);
+
+  CLI::App app{"rookdyked: a controller of the rookdyke cluster scheduler"};
+  std::string config_path;
+  std::optional<std::string> ini_path;
+  app.add_option("--config", config_path, "the platform's settings file (JSON)")->required();
+  app.add_option("--ini", ini_path, "the operators' own settings (INI)");
+  app.set_version_flag("--version", std::string("rookdyked ") + ROOKDYKE_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : 2;
+  }
+
+  rookdyke::Config config;
+  try {
+    config = rookdyke::read_config(config_path, ini_path);
+  } catch (const rookdyke::ConfigError& e) {
+    std::cerr << "rookdyked: " << e.what() << std::endl;
+    return 2;
+  }
+  set_up_log(config.core.label);
+  const auto bind = config.bind, mesh = config.mesh;
+  rookdyke::Node node(std::move(config));
+  if (!node.start()) {
+    spdlog::error("cannot listen on {}:{} or {}:{}", bind.host, bind.port, mesh.host, mesh.port);
+    return 1;
+  }
+  // It lasts until it is killed; nothing needs to be saved.
+  while (true) std::this_thread::sleep_for(std::chrono::hours(24));
+}
--- /dev/null
+++ b/src/daemon/node.cpp
@@ -0,0 +1,529 @@
+#include "daemon/node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace rookdyke {
+
+namespace {
+
+// Steady clocks drift apart by up to 0.05%: our count of a lease's time ends early by more.
+constexpr double kDrift = 0.998;
+constexpr double kRest = 12;          // how long a deaf leader leaves elections to the others
+constexpr double kLeaderShare = 0.6;  // of the shared budgets; followers share the rest
+constexpr double kStateFresh = 2.5;   // the state service counts as answering this long
+// A doubtful leader keeps its workers' leases alive no longer than this: no outage that the
+// service is meant to ride out lasts as long, and a cut one must let go some time.
+constexpr double kMaxDoubt = 60;
+constexpr size_t kMaxConnections = 700;
+
+}  // namespace
+
+double steady_now() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string_view to_string(Role r) {
+  switch (r) {
+    case Role::follower:
+      return "follower";
+    case Role::campaigning:
+      return "campaigning";
+    case Role::leading:
+      return "leading";
+    case Role::doubtful:
+      return "doubtful";
+    case Role::resting:
+      return "resting";
+  }
+  return "";
+}
+
+Node::Node(Config config)
+    : config_(std::move(config)),
+      state_budgets_(config_.state_rps, config_.write_rps),
+      cloud_budget_(config_.cloud_rps),
+      random_(std::random_device{}()) {
+  const size_t most =
+      std::min(kMaxConnections, config_.max_sockets > 128 ? config_.max_sockets - 64
+                                                          : config_.max_sockets / 2);
+  api_ = std::make_unique<net::Server>(
+      config_.bind, most, 64 * 1024,
+      [this](const httplib::Request& q, httplib::Response& r) { serve(q, r); });
+  mesh_ = std::make_unique<net::Server>(
+      config_.mesh, 16, 64 * 1024,
+      [this](const httplib::Request& q, httplib::Response& r) { serve_mesh(q, r); });
+}
+
+Node::~Node() { stop(); }
+
+Role Node::role() const {
+  std::lock_guard lock(mutex_);
+  return role_;
+}
+
+bool Node::start() {
+  {
+    std::lock_guard lock(mutex_);
+    set_role(Role::follower, "start");
+  }
+  if (!api_->start() || !mesh_->start()) return false;
+  threads_.emplace_back([this] { watch_loop(); });
+  threads_.emplace_back([this] { lead_loop(); });
+  threads_.emplace_back([this] { engine_loop(); });
+  threads_.emplace_back([this] { commit_loop(); });
+  threads_.emplace_back([this] { cloud_loop(); });
+  threads_.emplace_back([this] { mesh_loop(); });
+  return true;
+}
+
+void Node::stop() {
+  if (stop_.exchange(true)) return;
+  {
+    std::lock_guard lock(mutex_);
+    commit_cv_.notify_all();
+    cloud_cv_.notify_all();
+    engine_cv_.notify_all();
+    lead_cv_.notify_all();
+    mesh_cv_.notify_all();
+  }
+  {
+    std::lock_guard lock(barrier_mutex_);
+    watch_cv_.notify_all();
+    barrier_cv_.notify_all();
+  }
+  for (std::thread& t : threads_) t.join();
+  threads_.clear();
+  api_->halt();
+  mesh_->halt();
+}
+
+void Node::nap(std::unique_lock<std::mutex>& lock, std::condition_variable& cv, double s) {
+  if (!stop_) cv.wait_for(lock, std::chrono::duration<double>(std::max(0.001, s)));
+}
+
+// ---------------------------------------------------------------- the ledger's mirror
+
+bool Node::barrier(double timeout_s) {
+  std::unique_lock lock(barrier_mutex_);
+  const uint64_t mine = ++barrier_asked_;
+  watch_cv_.notify_all();
+  barrier_cv_.wait_for(lock, std::chrono::duration<double>(timeout_s), [&] {
+    return stop_ || barrier_done_ >= mine || barrier_failed_ >= mine;
+  });
+  return barrier_done_ >= mine;
+}
+
+void Node::apply(const wire::Row& row) {
+  if (row.erased) {
+    mirror_.erase(row.key, row.stamp);
+    return;
+  }
+  mirror_.put(row.key, row.value, row.stamp);
+  if (!core_) return;
+  static const std::string prefix = ledger::kJobPrefix;
+  if (row.key.compare(0, prefix.size(), prefix) != 0) return;
+  const std::string id = row.key.substr(prefix.size());
+  if (const MirrorJob* j = mirror_.job(id)) core_->on_job_row(*j, id, steady_now());
+}
+
+bool Node::reload(state::Client& client) {
+  std::vector<wire::Row> rows;
+  std::string after;
+  uint64_t first = 0;
+  while (true) {
+    auto page = client.range(ledger::kPrefix, after, 1000);
+    if (!page) return false;
+    if (first == 0) first = page->revision;
+    if (!page->rows.empty()) after = page->rows.back().key;
+    const bool last = !page->more || page->rows.empty();
+    rows.insert(rows.end(), std::make_move_iterator(page->rows.begin()),
+                std::make_move_iterator(page->rows.end()));
+    if (last) break;
+  }
+  std::lock_guard lock(mutex_);
+  mirror_.begin_reload();
+  for (const wire::Row& r : rows) apply(r);
+  mirror_.end_reload();
+  // Later pages may show later changes; the watch from the first page's revision repeats them.
+  revision_ = first;
+  spdlog::info("ledger read: {} rows at revision {}", rows.size(), first);
+  return true;
+}
+
+void Node::watch_loop() {
+  // A watch that holds nothing back is a read of the current revision and of all changes up to
+  // it in one request: each is a barrier for every poll that was waiting when it was sent.
+  state::Client client(config_.state, state_budgets_);
+  bool loaded = false;
+  double last = 0;
+  while (!stop_) {
+    double interval, gap;
+    {
+      std::lock_guard lock(mutex_);
+      const bool lead = leads();
+      interval = lead ? config_.watch_s : config_.follow_s;
+      const double share =
+          lead ? kLeaderShare : (1 - kLeaderShare) / std::max(1, config_.nodes - 1);
+      gap = std::max(0.02, 1 / (0.45 * share * config_.state_rps));
+    }
+    uint64_t asked = 0;
+    {
+      std::unique_lock lock(barrier_mutex_);
+      const auto due = [&] { return stop_ || barrier_asked_ > std::max(barrier_done_, barrier_failed_); };
+      const double until = last + interval - steady_now();
+      if (loaded && until > 0)
+        watch_cv_.wait_for(lock, std::chrono::duration<double>(until), due);
+      const double soon = last + gap - steady_now();
+      if (soon > 0 && !stop_) {
+        lock.unlock();
+        std::this_thread::sleep_for(std::chrono::duration<double>(soon));
+        lock.lock();
+      }
+      asked = barrier_asked_;
+    }
+    if (stop_) break;
+    last = steady_now();
+    bool ok = false;
+    if (!loaded) {
+      loaded = reload(client);
+      if (!loaded) {
+        std::unique_lock lock(barrier_mutex_);
+        barrier_failed_ = asked;
+        barrier_cv_.notify_all();
+        watch_cv_.wait_for(lock, std::chrono::milliseconds(300));
+        continue;
+      }
+      // The watch below catches up with what changed between the pages.
+    }
+    auto w = client.watch(ledger::kPrefix, revision_, 0);
+    if (w.kind == state::Client::Watch::Kind::too_old) {
+      spdlog::warn("ledger: watch from revision {} is too old, reading anew", revision_);
+      loaded = false;
+      continue;
+    }
+    if (w.kind == state::Client::Watch::Kind::events) {
+      ok = true;
+      std::lock_guard lock(mutex_);
+      for (const wire::Row& r : w.rows.rows) apply(r);
+      revision_ = std::max(revision_, w.rows.revision);
+      state_ok_at_ = steady_now();
+      loaded_ = true;
+      if (mirror_.leader_stamp() > highest_token_ && !mirror_.leader().empty()) {
+        highest_token_ = mirror_.leader_stamp();
+        highest_leader_ = mirror_.leader();
+      }
+      if (leads() && mirror_.leader_stamp() > token_)
+        step_down(Role::follower, "the leader key is not ours");
+      if (!leads() && mirror_.leader().empty()) lead_cv_.notify_all();
+    }
+    std::unique_lock lock(barrier_mutex_);
+    (ok ? barrier_done_ : barrier_failed_) = asked;
+    barrier_cv_.notify_all();
+    if (!ok) watch_cv_.wait_for(lock, std::chrono::milliseconds(150));
+  }
+}
+
+// ---------------------------------------------------------------- leadership
+
+void Node::set_role(Role to, const std::string& why) {
+  if (role_ != to || to == Role::follower)
+    spdlog::info("role: {} -> {} ({})", to_string(role_), to_string(to), why);
+  role_ = to;
+  const bool lead = leads() || to == Role::campaigning;
+  const double share = config_.nodes == 1 ? 0.95
+                       : lead             ? kLeaderShare
+                                          : (0.95 - kLeaderShare) / (config_.nodes - 1);
+  state_budgets_.requests.set_share(share);
+  state_budgets_.writes.set_share(share);
+  cloud_budget_.set_share(config_.nodes == 1 ? 0.95 : lead ? 0.7 : 0.25 / (config_.nodes - 1));
+}
+
+void Node::step_down(Role to, const std::string& why) {
+  core_.reset();
+  token_ = 0;
+  if (to == Role::resting) rest_until_ = steady_now() + kRest;
+  set_role(to, why);
+  lead_cv_.notify_all();
+}
+
+bool Node::campaign(state::Client& client) {
+  const auto lease = client.grant(config_.lease_ttl_s);
+  if (!lease) return false;
+  const double granted = steady_now();
+  ledger::Transaction t;
+  t.mark = config_.core.label + "." + std::to_string(*lease);
+  t.conditions = {{ledger::kLeaderKey, 0}};
+  t.changes = {{ledger::kLeaderKey,
+                false,
+                {{"label", config_.core.label}, {"w", t.mark}},
+                *lease}};
+  ledger::Result r = client.commit(t, 0.5);
+  if (r.outcome == ledger::Outcome::unknown) r = client.commit_repeated(t, 0.5);
+  if (r.outcome != ledger::Outcome::applied) {
+    client.drop(*lease);  // whatever became of the write, the key goes with its lease
+    return false;
+  }
+  // Everything that a predecessor committed lies before this key; the barrier brings it here.
+  if (!barrier(2.0)) {
+    client.drop(*lease);
+    return false;
+  }
+  std::lock_guard lock(mutex_);
+  const std::vector<TypeInfo> types = !mirror_.types().empty() ? mirror_.types() : types_;
+  if (types.empty() || mirror_.leader_stamp() != r.revision) {
+    spdlog::warn("elected but not able to lead: machine types {}, key {} of {}",
+                 types.empty() ? "unknown" : "known", mirror_.leader_stamp(), r.revision);
+    lease_ = *lease;
+    set_role(Role::follower, "not able to lead");
+    return false;
+  }
+  const double now = steady_now();
+  lease_ = *lease;
+  token_ = r.revision;
+  renewed_at_ = granted;
+  core_ = std::make_unique<Core>(config_.core, types, token_, now);
+  core_->load(mirror_, now);
+  highest_token_ = std::max(highest_token_, token_);
+  highest_leader_ = config_.core.label;
+  set_role(Role::leading, "elected with token " + std::to_string(token_));
+  mesh_cv_.notify_all();
+  engine_cv_.notify_all();
+  cloud_cv_.notify_all();
+  return true;
+}
+
+void Node::lead_loop() {
+  state::Client client(config_.state, state_budgets_, 0.8);
+  std::uniform_real_distribution<double> jitter(0.0, 0.3);
+  double next_renewal = 0;
+  bool held = false;  // lease_ is ours to drop once we no longer lead
+  while (!stop_) {
+    Role role;
+    uint64_t lease = 0;
+    bool vacant = false, types = false;
+    {
+      std::unique_lock lock(mutex_);
+      const double now = steady_now();
+      if (role_ == Role::resting && now >= rest_until_) set_role(Role::follower, "rested");
+      role = role_;
+      lease = lease_;
+      // Only a fresh look tells that nobody leads.
+      vacant = loaded_ && mirror_.leader().empty() && now - state_ok_at_ < 2 * config_.follow_s + 1;
+      types = !mirror_.types().empty() || !types_.empty();
+    }
+    if (role == Role::leading || role == Role::doubtful) {
+      held = true;
+      const double sent = steady_now();
+      if (sent >= next_renewal) {
+        const auto kept = client.renew(lease);
+        std::lock_guard lock(mutex_);
+        const double now = steady_now();
+        if (leads()) {
+          if (kept == state::Client::Renewal::kept) {
+            renewed_at_ = sent;
+            if (role_ == Role::doubtful) set_role(Role::leading, "the lease is renewed");
+          } else if (kept == state::Client::Renewal::ended) {
+            step_down(Role::follower, "the lease ended");
+          } else if (now - renewed_at_ > config_.lease_ttl_s * kDrift) {
+            if (role_ == Role::leading) set_role(Role::doubtful, "the lease could not be renewed");
+            if (now - renewed_at_ > kMaxDoubt) step_down(Role::follower, "in doubt for too long");
+          }
+        }
+        next_renewal = sent + config_.lease_ttl_s / 3;
+      }
+    } else if (held) {
+      client.drop(lease);
+      held = false;
+    } else if (role == Role::follower && vacant && types) {
+      std::this_thread::sleep_for(std::chrono::duration<double>(jitter(random_)));
+      bool still = false;
+      {
+        std::lock_guard lock(mutex_);
+        still = role_ == Role::follower && mirror_.leader().empty();
+        if (still) set_role(Role::campaigning, "nobody leads");
+      }
+      if (still && !campaign(client)) {
+        std::lock_guard lock(mutex_);
+        if (role_ == Role::campaigning) set_role(Role::follower, "not elected");
+        if (lease_ != lease) held = true;
+      }
+      next_renewal = 0;
+    }
+    std::unique_lock lock(mutex_);
+    const double wait =
+        leads() ? std::max(0.02, next_renewal - steady_now()) : mirror_.leader().empty() ? 0.1 : 0.5;
+    nap(lock, lead_cv_, wait);
+  }
+  std::unique_lock lock(mutex_);
+  const uint64_t lease = lease_;
+  const bool mine = leads();
+  if (mine) step_down(Role::follower, "stopping");
+  lock.unlock();
+  if (mine) client.drop(lease);
+}
+
+// ---------------------------------------------------------------- the core's threads
+
+void Node::engine_loop() {
+  std::unique_lock lock(mutex_);
+  double next_summary = 0;
+  while (!stop_) {
+    double interval = 0.5;
+    if (role_ == Role::leading && core_) {
+      const double now = steady_now();
+      if (core_->lost()) {
+        step_down(Role::follower, "the core lost its claim");
+      } else if (core_->deaf(now)) {
+        // Cut from the workers while the state service still answers: they can only be reached
+        // by another node. Their machines are not returned for our own deafness.
+        step_down(Role::resting, "no worker reaches us");
+      } else {
+        core_->round(now);
+        const double took = steady_now() - now;
+        // Under load rounds come more seldom and each takes more at once.
+        interval = std::clamp(12 * took, config_.core.tuning.round_s,
+                              config_.core.tuning.round_max_s);
+        commit_cv_.notify_all();
+        cloud_cv_.notify_all();
+        if (now >= next_summary) {
+          next_summary = now + 10;
+          const auto s = core_->summary(now);
+          spdlog::info("jobs {} waiting {} live {}; machines ready {} booting {} draining {} "
+                       "silent {}, target {}",
+                       s.jobs, s.waiting, s.live, s.ready, s.booting, s.draining, s.silent,
+                       s.target);
+        }
+      }
+    } else if (role_ == Role::doubtful && core_ && core_->lost()) {
+      step_down(Role::follower, "the core lost its claim");
+    }
+    nap(lock, engine_cv_, interval);
+  }
+}
+
+void Node::commit_loop() {
+  state::Client client(config_.state, state_budgets_);
+  std::unique_lock lock(mutex_);
+  while (!stop_) {
+    std::optional<PendingTransaction> p;
+    if (role_ == Role::leading && core_) p = core_->next_transaction(steady_now());
+    if (!p) {
+      nap(lock, commit_cv_, 0.5);
+      continue;
+    }
+    const uint64_t token = token_;
+    lock.unlock();
+    const ledger::Result r =
+        p->repeat ? client.commit_repeated(p->txn, 2.0) : client.commit(p->txn, 2.0);
+    lock.lock();
+    if (r.outcome == ledger::Outcome::applied) state_ok_at_ = steady_now();
+    if (core_ && token_ == token) core_->on_result(p->id, r, steady_now());
+    if (r.outcome == ledger::Outcome::refused || r.outcome == ledger::Outcome::unknown)
+      nap(lock, commit_cv_, 0.1);
+  }
+}
+
+void Node::cloud_loop() {
+  cloud::Client client(config_.cloud, cloud_budget_);
+  state::Client state(config_.state, state_budgets_);
+  double next_list = 0, next_types = 0;
+  const double list_every = std::max(2.0, config_.core.list_lag_s * 0.7);
+  std::unique_lock lock(mutex_);
+  while (!stop_) {
+    const bool lead = role_ == Role::leading && core_;
+    const uint64_t token = token_;
+    const double now = steady_now();
+    const bool want_types = (mirror_.types().empty() && types_.empty()) || lead;
+    if (want_types && now >= next_types) {
+      const bool have = !mirror_.types().empty();
+      lock.unlock();
+      auto types = client.types();
+      lock.lock();
+      next_types = steady_now() + (types ? 20 : 0.7);
+      if (types) {
+        if (core_ && token_ == token) core_->set_prices(*types);
+        types_ = *types;
+        lead_cv_.notify_all();
+        if (lead && !have && token_ == token) {
+          ledger::Transaction t;
+          t.conditions = {{ledger::kLeaderKey, token}, {ledger::kTypesKey, 0}};
+          t.changes = {{ledger::kTypesKey, false, ledger::encode_types(*types), 0}};
+          lock.unlock();
+          state.commit(t, 1.0);  // absent: whoever leads next writes it
+          lock.lock();
+        }
+      }
+      continue;
+    }
+    if (!lead) {
+      nap(lock, cloud_cv_, 0.7);
+      continue;
+    }
+    if (auto names = core_->next_return(now); !names.empty()) {
+      lock.unlock();
+      const CloudOutcome o = client.give_back(names);
+      lock.lock();
+      if (core_ && token_ == token) core_->on_return(names, o, steady_now());
+      commit_cv_.notify_all();
+      continue;
+    }
+    if (auto h = core_->next_hire(now)) {
+      lock.unlock();
+      const auto got = client.hire(*h);
+      lock.lock();
+      if (core_ && token_ == token) core_->on_hire(*h, got.outcome, got.machines, steady_now());
+      continue;
+    }
+    if (now >= next_list) {
+      lock.unlock();
+      const double asked = steady_now();
+      const auto list = client.list();
+      lock.lock();
+      next_list = steady_now() + list_every;
+      if (list && core_ && token_ == token) core_->on_machine_list(*list, asked, steady_now());
+      continue;
+    }
+    nap(lock, cloud_cv_, std::min(0.5, std::max(0.05, next_list - now)));
+  }
+}
+
+// ---------------------------------------------------------------- siblings
+
+mesh::View Node::view() const {
+  std::lock_guard lock(mutex_);
+  mesh::View v;
+  v.label = config_.core.label;
+  v.state_ok = steady_now() - state_ok_at_ < kStateFresh;
+  v.token = highest_token_;
+  v.leader = highest_leader_;
+  return v;
+}
+
+void Node::hear(const mesh::View& v) {
+  std::lock_guard lock(mutex_);
+  if (v.state_ok) siblings_ok_at_ = steady_now();
+  if (v.token <= highest_token_) return;
+  highest_token_ = v.token;
+  highest_leader_ = v.leader;
+  // Invariant 2: a leader cut from the state service alone learns here that others elected.
+  if (leads() && v.token > token_)
+    step_down(Role::follower, v.label + " knows token " + std::to_string(v.token));
+}
+
+void Node::mesh_loop() {
+  std::vector<std::unique_ptr<mesh::Peer>> peers;
+  for (const Sibling& s : config_.siblings) peers.push_back(std::make_unique<mesh::Peer>(s));
+  while (!stop_) {
+    for (auto& p : peers) {
+      if (stop_) return;
+      if (auto v = p->exchange(view())) hear(*v);
+    }
+    std::unique_lock lock(mutex_);
+    nap(lock, mesh_cv_, 1.0);
+  }
+}
+
+}  // namespace rookdyke
--- /dev/null
+++ b/src/daemon/node.h
@@ -0,0 +1,121 @@
+#pragma once
+// One controller: threads and blocking sockets around the pure core.
+//
+//   watcher   follows the ledger and gives read barriers
+//   leader    the leader key: campaigns, renews, steps down
+//   engine    rounds of the core while leading
+//   committer transactions of the core
+//   cloud     hires, returns, lists, machine types
+//   mesh      exchanges views with siblings
+//   api       a thread per connection of users, workers, health checks
+//
+// One mutex guards the core, the mirror and the role; nothing blocks while holding it.
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "cloud/client.h"
+#include "config/config.h"
+#include "core/core.h"
+#include "core/mirror.h"
+#include "mesh/mesh.h"
+#include "net/server.h"
+#include "state/client.h"
+
+namespace rookdyke {
+
+// follower -> campaigning -> leading <-> doubtful -> resting -> follower
+//   leading   holds the leader key as far as it can know
+//   doubtful  could not renew for a lease's time: answers reports with its token, decides nothing
+//   resting   gave the key up because it was deaf: leaves the next election to the others
+enum class Role : uint8_t { follower, campaigning, leading, doubtful, resting };
+std::string_view to_string(Role r);
+
+class Node {
+ public:
+  explicit Node(Config config);
+  ~Node();
+  bool start();
+  void stop();
+  int port() const { return api_->port(); }
+  Role role() const;
+
+ private:
+  // -- api/api.cpp
+  void serve(const httplib::Request& req, httplib::Response& res);
+  void submit(const httplib::Request& req, httplib::Response& res);
+  void poll(const std::string& id, httplib::Response& res);
+  void abort(const std::string& id, httplib::Response& res);
+  void report(const httplib::Request& req, httplib::Response& res);
+  void health(httplib::Response& res);
+  void serve_mesh(const httplib::Request& req, httplib::Response& res);
+  std::optional<ledger::Result> settle(const ledger::Transaction& t, double deadline);
+
+  // -- node.cpp
+  // Waits until the mirror shows at least all that was committed before the call.
+  bool barrier(double timeout_s);
+  void watch_loop();
+  bool reload(state::Client& client);
+  void apply(const wire::Row& row);  // under mutex_
+  void lead_loop();
+  bool campaign(state::Client& client);
+  void step_down(Role to, const std::string& why);  // under mutex_
+  void set_role(Role to, const std::string& why);   // under mutex_; the only place that changes it
+  void engine_loop();
+  void commit_loop();
+  void cloud_loop();
+  void mesh_loop();
+  void hear(const mesh::View& v);
+  mesh::View view() const;
+  bool leads() const { return role_ == Role::leading || role_ == Role::doubtful; }
+  void nap(std::unique_lock<std::mutex>& lock, std::condition_variable& cv, double s);
+
+  Config config_;
+  mutable std::mutex mutex_;
+  std::condition_variable commit_cv_, cloud_cv_, engine_cv_, lead_cv_, mesh_cv_;
+  std::atomic<bool> stop_{false};
+
+  Mirror mirror_;
+  Role role_ = Role::follower;
+  std::unique_ptr<Core> core_;
+  uint64_t token_ = 0, lease_ = 0;
+  double rest_until_ = 0;
+  double renewed_at_ = 0;
+  std::vector<TypeInfo> types_;  // as the cloud tells, until the ledger has them
+  uint64_t highest_token_ = 0;   // heard of from anybody
+  std::string highest_leader_;
+
+  // Read barriers.
+  std::mutex barrier_mutex_;
+  std::condition_variable barrier_cv_, watch_cv_;
+  uint64_t barrier_asked_ = 0, barrier_done_ = 0, barrier_failed_ = 0;
+  uint64_t revision_ = 0;     // the mirror holds all up to here (watcher's own)
+  std::atomic<bool> loaded_{false};
+  std::atomic<double> state_ok_at_{-1e9};
+  std::atomic<double> siblings_ok_at_{-1e9};  // a sibling last said that the state answers it
+  std::atomic<double> last_request_at_{0};
+
+  state::Budgets state_budgets_;
+  net::Budget cloud_budget_;
+  // Connections to the state service for the users' requests.
+  std::mutex pool_mutex_;
+  std::condition_variable pool_cv_;
+  std::vector<std::unique_ptr<state::Client>> pool_;
+  size_t pool_made_ = 0;
+
+  std::unique_ptr<net::Server> api_, mesh_;
+  std::vector<std::thread> threads_;
+  std::mt19937 random_;
+  friend class PooledState;
+};
+
+double steady_now();
+
+}  // namespace rookdyke
--- /dev/null
+++ b/src/mesh/mesh.cpp
@@ -0,0 +1,40 @@
+#include "mesh/mesh.h"
+
+namespace rookdyke::mesh {
+
+using nlohmann::json;
+
+json encode(const View& v) {
+  return {{"label", v.label}, {"leader", v.leader}, {"token", v.token}, {"state_ok", v.state_ok}};
+}
+
+std::optional<View> decode(const std::string& text) {
+  const json j = json::parse(text, nullptr, false);
+  if (j.is_discarded()) return std::nullopt;
+  try {
+    View v;
+    j.at("label").get_to(v.label);
+    j.at("leader").get_to(v.leader);
+    j.at("token").get_to(v.token);
+    j.at("state_ok").get_to(v.state_ok);
+    return v;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+Peer::Peer(const Sibling& s) : label_(s.label), http_(s.mesh.host, s.mesh.port) {
+  http_.set_keep_alive(true);
+  http_.set_tcp_nodelay(true);
+  http_.set_connection_timeout(0, 400'000);
+  http_.set_read_timeout(0, 500'000);
+  http_.set_write_timeout(0, 500'000);
+}
+
+std::optional<View> Peer::exchange(const View& ours) {
+  const auto r = http_.Post(kView, encode(ours).dump(), "application/json");
+  if (!r || r->status != 200) return std::nullopt;
+  return decode(r->body);
+}
+
+}  // namespace rookdyke::mesh
--- /dev/null
+++ b/src/mesh/mesh.h
@@ -0,0 +1,42 @@
+#pragma once
+// What siblings tell one another on mesh_addr, in JSON: who they believe leads, with which token,
+// and whether the state service answers them. Nothing correct rests on it; it only makes a leader
+// that is cut from the state service alone step aside sooner, and tells an outage from a cut.
+
+#include <httplib.h>
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+
+namespace rookdyke::mesh {
+
+inline constexpr const char* kView = "/mesh/v1/view";
+
+struct View {
+  std::string label;
+  std::string leader;      // empty: none known
+  uint64_t token = 0;      // the leader's
+  bool state_ok = false;   // the state service answered lately
+};
+
+nlohmann::json encode(const View& v);
+std::optional<View> decode(const std::string& text);
+
+// One sibling; for one thread.
+class Peer {
+ public:
+  explicit Peer(const Sibling& s);
+  const std::string& label() const { return label_; }
+  // Tells our view and hears theirs.
+  std::optional<View> exchange(const View& ours);
+
+ private:
+  std::string label_;
+  httplib::Client http_;
+};
+
+}  // namespace rookdyke::mesh
--- /dev/null
+++ b/src/net/budget.h
@@ -0,0 +1,62 @@
+#pragma once
+// A node's part of a rate limit that all nodes share. Takers wait their turn in order of asking.
+
+#include <algorithm>
+#include <chrono>
+#include <mutex>
+#include <thread>
+
+namespace rookdyke::net {
+
+class Budget {
+ public:
+  using Clock = std::chrono::steady_clock;
+
+  explicit Budget(double per_s) : total_(per_s), rate_(per_s) {}
+
+  // The node's share changes with its role: the leader has most.
+  void set_share(double share) {
+    std::lock_guard lock(mutex_);
+    refill();
+    rate_ = std::max(0.01, total_ * share);
+  }
+  // After a 429: everything waits a little.
+  void penalty(double s) {
+    std::lock_guard lock(mutex_);
+    refill();
+    level_ = std::min(level_, -s * rate_);
+  }
+  // Takes n; sleeps until they are there, unless that takes longer than max_wait_s.
+  bool take(double n, double max_wait_s) {
+    double wait = 0;
+    {
+      std::lock_guard lock(mutex_);
+      refill();
+      // One that asks for more than a second's worth passes once the bucket is full.
+      const double need = std::min(n, burst());
+      if (level_ < need) wait = (need - level_) / rate_;
+      if (wait > max_wait_s) return false;
+      level_ -= n;
+    }
+    if (wait > 0) std::this_thread::sleep_for(std::chrono::duration<double>(wait));
+    return true;
+  }
+
+ private:
+  double burst() const { return std::max(1.0, 0.8 * rate_); }
+  void refill() {
+    const auto now = Clock::now();
+    if (last_ != Clock::time_point{})
+      level_ += rate_ * std::chrono::duration<double>(now - last_).count();
+    else
+      level_ = burst();
+    last_ = now;
+    level_ = std::min(level_, burst());
+  }
+
+  std::mutex mutex_;
+  double total_, rate_, level_ = 0;
+  Clock::time_point last_{};
+};
+
+}  // namespace rookdyke::net
--- /dev/null
+++ b/src/wire/wire.cpp
@@ -0,0 +1,476 @@
+#include "wire/wire.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <limits>
+
+namespace rookdyke::wire {
+
+namespace {
+
+constexpr size_t kMaxDepth = 32;
+constexpr size_t kMaxName = 200;
+constexpr size_t kMaxTypes = 100;
+constexpr double kMaxAmount = 1e12;
+constexpr uint64_t kMaxTasks = 100000;
+
+// Stops a parse at kMaxDepth: the library descends by recursion, and a body of nothing but
+// nested lists would run a connection's small stack over.
+class DepthGuard : public nlohmann::json_sax<json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool start_object(std::size_t) override { return ++depth_ <= kMaxDepth; }
+  bool key(string_t&) override { return true; }
+  bool end_object() override { return --depth_, true; }
+  bool start_array(std::size_t) override { return ++depth_ <= kMaxDepth; }
+  bool end_array() override { return --depth_, true; }
+  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+ private:
+  size_t depth_ = 0;
+};
+
+const json* field(const json& j, const char* name) {
+  if (!j.is_object()) return nullptr;
+  auto it = j.find(name);
+  return it == j.end() || it->is_null() ? nullptr : &*it;
+}
+
+std::string text_or(const json& j, const char* name, const std::string& other = "") {
+  const json* v = field(j, name);
+  return v && v->is_string() ? v->get<std::string>() : other;
+}
+
+uint64_t whole_or(const json& j, const char* name, uint64_t other = 0) {
+  const json* v = field(j, name);
+  if (!v) return other;
+  if (v->is_number_unsigned()) return v->get<uint64_t>();
+  if (v->is_number_integer() && v->get<int64_t>() >= 0)
+    return static_cast<uint64_t>(v->get<int64_t>());
+  return other;
+}
+
+double number_or(const json& j, const char* name, double other) {
+  const json* v = field(j, name);
+  return v && v->is_number() ? v->get<double>() : other;
+}
+
+bool truth_or(const json& j, const char* name, bool other = false) {
+  const json* v = field(j, name);
+  return v && v->is_boolean() ? v->get<bool>() : other;
+}
+
+// Splits "<job>/<task>".
+bool split_task(const std::string& s, std::string& job, uint32_t& task) {
+  const size_t slash = s.rfind('/');
+  if (slash == std::string::npos) return false;
+  job = s.substr(0, slash);
+  const char* end = s.data() + s.size();
+  auto [p, ec] = std::from_chars(s.data() + slash + 1, end, task);
+  return ec == std::errc() && p == end;
+}
+
+const char* verb(Verb v) {
+  switch (v) {
+    case Verb::run:
+      return "run";
+    case Verb::stop:
+      return "stop";
+    case Verb::clear:
+      return "clear";
+  }
+  return "";
+}
+
+std::string escape(const std::string& s) {
+  static constexpr char kHex[] = "0123456789ABCDEF";
+  std::string out;
+  for (const unsigned char c : s) {
+    if (std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == '/' || c == '~') {
+      out += static_cast<char>(c);
+    } else {
+      out += '%';
+      out += kHex[c >> 4];
+      out += kHex[c & 15];
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string pack(const json& j) {
+  std::string out;
+  json::to_msgpack(j, nlohmann::detail::output_adapter<char>(out));
+  return out;
+}
+
+std::optional<json> unpack(const std::string& body) {
+  try {
+    DepthGuard guard;
+    if (!json::sax_parse(body, &guard, json::input_format_t::msgpack)) return std::nullopt;
+    json j = json::from_msgpack(body, true, false);
+    if (j.is_discarded()) return std::nullopt;
+    return j;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+bool valid_job_id(const std::string& id) {
+  constexpr size_t head = 3;
+  if (id.compare(0, head, "wk-") != 0 || id.size() < head + 6 || id.size() > head + 18)
+    return false;
+  return std::all_of(id.begin() + head, id.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+std::optional<std::string> job_id(const json& body) {
+  const std::string id = text_or(body, "id");
+  return valid_job_id(id) ? std::optional(id) : std::nullopt;
+}
+
+std::optional<JobSpec> parse_job(const json& b, std::string& error) {
+  JobSpec s;
+  error.clear();
+  auto name = [&](const char* f, std::string& to) {
+    const json* v = field(b, f);
+    if (!v || !v->is_string() || v->get_ref<const std::string&>().empty() ||
+        v->get_ref<const std::string&>().size() > kMaxName)
+      error = f;
+    else
+      to = v->get<std::string>();
+  };
+  auto amount = [&](const char* f, double& to) {
+    const json* v = field(b, f);
+    if (!v || !v->is_number()) {
+      error = f;
+      return;
+    }
+    to = v->get<double>();
+    if (!std::isfinite(to) || to < 0 || to > kMaxAmount) error = f;
+  };
+  auto flag = [&](const char* f, bool& to) {
+    const json* v = field(b, f);
+    if (!v || !v->is_boolean())
+      error = f;
+    else
+      to = v->get<bool>();
+  };
+  if (!b.is_object()) {
+    error = "not a map";
+    return std::nullopt;
+  }
+  if (auto id = job_id(b))
+    s.id = *id;
+  else
+    error = "id";
+  name("lot", s.lot);
+  name("crew", s.team);
+  name("kit", s.image);
+  std::string word;
+  name("shape", word);
+  if (word == "ensemble")
+    s.shape = Shape::gang;
+  else if (word != "array")
+    error = "shape";
+  word.clear();
+  name("rank", word);
+  if (word == "critical")
+    s.rank = Rank::critical;
+  else if (word == "urgent")
+    s.rank = Rank::urgent;
+  else if (word == "standard")
+    s.rank = Rank::standard;
+  else if (word == "idle")
+    s.rank = Rank::idle;
+  else
+    error = "rank";
+  const uint64_t tasks = whole_or(b, "shifts");
+  if (tasks < 1 || tasks > kMaxTasks) error = "shifts";
+  s.tasks = static_cast<uint32_t>(std::min(tasks, kMaxTasks));
+  amount("cpus", s.each.cpus);
+  amount("gpus", s.each.gpus);
+  amount("mem_gb", s.each.mem);
+  amount("image_gb", s.image_gb);
+  amount("expected_s", s.estimate_s);
+  amount("marker_s", s.checkpoint_s);
+  amount("stow_s", s.save_s);
+  if (field(b, "due_s")) amount("due_s", s.due_s);
+  flag("one_zone", s.one_zone);
+  flag("scatter", s.scatter);
+  flag("loaners", s.spot);
+  if (const json* v = field(b, "breeds")) {
+    if (!v->is_array() || v->empty() || v->size() > kMaxTypes) {
+      error = "breeds";
+    } else {
+      for (const json& t : *v) {
+        if (!t.is_string() || t.get_ref<const std::string&>().size() > kMaxName)
+          error = "breeds";
+        else
+          s.types.push_back(t.get<std::string>());
+      }
+    }
+  }
+  if (field(b, "yard")) name("yard", s.zone);
+  if (!error.empty()) return std::nullopt;
+  return s;
+}
+
+json job_answer(const std::string& id, const JobAnswer& a, bool with_counts) {
+  const char* standing = a.standing == ledger::Standing::done      ? "done"
+                         : a.standing == ledger::Standing::aborted ? "aborted"
+                         : a.running > 0                           ? "running"
+                                                                   : "pending";
+  json out = {{"id", id}, {"standing", standing}};
+  if (with_counts) {
+    out["done"] = a.done;
+    out["running"] = a.running;
+  }
+  return out;
+}
+
+std::optional<Report> parse_report(const json& b) {
+  Report r;
+  r.machine = text_or(b, "croft");
+  if (r.machine.empty()) return std::nullopt;
+  r.addr = text_or(b, "addr");
+  r.type = text_or(b, "breed");
+  r.zone = text_or(b, "yard");
+  r.spot = truth_or(b, "loaners");
+  r.session = whole_or(b, "tenure");
+  r.seq = whole_or(b, "tally");
+  r.token = whole_or(b, "warrant");
+  r.notice_s = number_or(b, "recall_s", -1);
+  const json* tasks = field(b, "shifts");
+  if (!tasks) return r;
+  if (!tasks->is_array()) return std::nullopt;
+  for (const json& t : *tasks) {
+    TaskReport o;
+    if (!split_task(text_or(t, "shift"), o.job, o.task)) return std::nullopt;
+    o.attempt = whole_or(t, "go");
+    const std::string st = text_or(t, "standing");
+    if (st == "pulling")
+      o.seen = Seen::pulling;
+    else if (st == "gathering")
+      o.seen = Seen::gathering;
+    else if (st == "running")
+      o.seen = Seen::running;
+    else if (st == "saving")
+      o.seen = Seen::saving;
+    else if (st == "exited")
+      o.seen = Seen::exited;
+    else
+      return std::nullopt;
+    if (o.seen == Seen::exited) {
+      const std::string why = text_or(t, "cause");
+      o.cause = why == "done"      ? Cause::done
+                : why == "halted"  ? Cause::halted
+                : why == "peers"   ? Cause::peers
+                : why == "alone"   ? Cause::alone
+                : why == "no_room" ? Cause::no_room
+                : why == "in_use"  ? Cause::in_use
+                : why == "no_such" ? Cause::no_such
+                                   : Cause::error;
+      o.saved = truth_or(t, "stored");
+    }
+    r.tasks.push_back(std::move(o));
+  }
+  return r;
+}
+
+json report_answer(uint64_t token, const std::vector<Order>& orders) {
+  json list = json::array();
+  for (const Order& o : orders) {
+    json e = {{"verb", verb(o.verb)},
+              {"shift", o.job + "/" + std::to_string(o.task)},
+              {"go", o.attempt}};
+    if (o.verb == Verb::stop) e["leave_s"] = o.grace_s;
+    list.push_back(std::move(e));
+  }
+  return {{"warrant", token}, {"orders", std::move(list)}};
+}
+
+json redirect(const std::string& leader) {
+  if (leader.empty()) return json::object();
+  return {{"steward", leader}};
+}
+
+std::optional<std::vector<TypeInfo>> parse_types(const json& b) {
+  const json* list = field(b, "breeds");
+  if (!list || !list->is_array()) return std::nullopt;
+  std::vector<TypeInfo> out;
+  for (const json& t : *list) {
+    TypeInfo i;
+    i.name = text_or(t, "name");
+    if (i.name.empty()) continue;
+    i.size = {number_or(t, "cpus", 0), number_or(t, "gpus", 0), number_or(t, "mem_gb", 0)};
+    i.cache_gb = number_or(t, "local_gb", 0);
+    i.fetch_gb_per_s = std::max(1e-3, number_or(t, "fetch_gb_per_s", 1));
+    i.price = number_or(t, "hourly", 0);
+    i.spot_price = number_or(t, "low_price", i.price);
+    i.boot_s = std::max(1.0, number_or(t, "boot_s", 60));
+    if (const json* z = field(t, "yards"); z && z->is_array())
+      for (const json& name : *z)
+        if (name.is_string()) i.zones.push_back(name.get<std::string>());
+    out.push_back(std::move(i));
+  }
+  if (out.empty()) return std::nullopt;
+  return out;
+}
+
+json hire(const Hire& h) {
+  return {{"hire", h.name},
+          {"breed", h.type},
+          {"yard", h.zone},
+          {"loaners", h.spot},
+          {"how_many", h.count}};
+}
+
+std::optional<std::vector<std::string>> parse_hired(const json& b) {
+  const json* list = field(b, "crofts");
+  if (!list || !list->is_array()) return std::nullopt;
+  std::vector<std::string> out;
+  for (const json& n : *list)
+    if (n.is_string()) out.push_back(n.get<std::string>());
+  return out;
+}
+
+json give_back(const std::vector<std::string>& names) { return {{"crofts", names}}; }
+
+std::string list_path(const std::string& after, int most) {
+  std::string p = "/machines?most=" + std::to_string(most);
+  if (!after.empty()) p += "&after=" + escape(after);
+  return p;
+}
+
+std::optional<std::vector<ListedMachine>> parse_machines(const json& b, bool& more) {
+  const json* list = field(b, "crofts");
+  if (!list || !list->is_array()) return std::nullopt;
+  more = truth_or(b, "truncated");
+  std::vector<ListedMachine> out;
+  for (const json& m : *list) {
+    ListedMachine l;
+    l.name = text_or(m, "id");
+    if (l.name.empty()) continue;
+    l.addr = text_or(m, "addr");
+    l.type = text_or(m, "breed");
+    l.zone = text_or(m, "yard");
+    l.spot = truth_or(m, "loaners");
+    const std::string st = text_or(m, "standing");
+    l.state = st == "running"  ? ListedMachine::State::running
+              : st == "failed" ? ListedMachine::State::failed
+                               : ListedMachine::State::booting;
+    l.age_s = number_or(m, "age_s", 0);
+    out.push_back(std::move(l));
+  }
+  return out;
+}
+
+std::string key_path(const std::string& key) { return "/keys/" + escape(key); }
+
+std::string range_path(const std::string& prefix, const std::string& after, int most) {
+  std::string p = "/keys?under=" + escape(prefix) + "&most=" + std::to_string(most);
+  if (!after.empty()) p += "&after=" + escape(after);
+  return p;
+}
+
+std::string watch_path(const std::string& prefix, uint64_t after, int hold_ms) {
+  return "/watch?under=" + escape(prefix) + "&after=" + std::to_string(after) +
+         "&hold_ms=" + std::to_string(hold_ms);
+}
+
+json transaction(const ledger::Transaction& t) {
+  json conditions = json::array(), changes = json::array();
+  for (const ledger::Condition& c : t.conditions)
+    conditions.push_back({{"k", c.key}, {"stamp", c.stamp}});
+  for (const ledger::Change& c : t.changes) {
+    if (c.erase) {
+      changes.push_back({{"delete", c.key}});
+    } else {
+      json e = {{"write", c.key}, {"v", c.value}};
+      if (c.lease) e["tether"] = c.lease;
+      changes.push_back(std::move(e));
+    }
+  }
+  return {{"if", std::move(conditions)}, {"then", std::move(changes)}};
+}
+
+std::optional<uint64_t> parse_revision(const json& b) {
+  const json* v = field(b, "ledger");
+  if (!v || !v->is_number_integer()) return std::nullopt;
+  return v->get<uint64_t>();
+}
+
+std::vector<std::string> parse_failed(const json& b) {
+  std::vector<std::string> out;
+  if (const json* v = field(b, "failed"); v && v->is_array())
+    for (const json& k : *v)
+      if (k.is_string()) out.push_back(k.get<std::string>());
+  return out;
+}
+
+std::optional<Row> parse_row(const json& b) {
+  const json* k = field(b, "k");
+  if (!k || !k->is_string()) return std::nullopt;
+  Row r;
+  r.key = k->get<std::string>();
+  if (const json* v = field(b, "v")) r.value = *v;
+  r.stamp = whole_or(b, "stamp");
+  return r;
+}
+
+std::optional<Rows> parse_rows(const json& b) {
+  const json* list = field(b, "rows");
+  auto revision = parse_revision(b);
+  if (!list || !list->is_array() || !revision) return std::nullopt;
+  Rows out;
+  out.revision = *revision;
+  out.more = truth_or(b, "truncated");
+  for (const json& e : *list)
+    if (auto r = parse_row(e)) out.rows.push_back(std::move(*r));
+  return out;
+}
+
+std::optional<Rows> parse_events(const json& b) {
+  const json* list = field(b, "log");
+  auto revision = parse_revision(b);
+  if (!revision) return std::nullopt;
+  Rows out;
+  out.revision = *revision;
+  if (!list) return out;
+  if (!list->is_array()) return std::nullopt;
+  for (const json& e : *list) {
+    Row r;
+    r.stamp = whole_or(e, "stamp");
+    if (const json* k = field(e, "write"); k && k->is_string()) {
+      r.key = k->get<std::string>();
+      if (const json* v = field(e, "v")) r.value = *v;
+    } else if (const json* d = field(e, "delete"); d && d->is_string()) {
+      r.key = d->get<std::string>();
+      r.erased = true;
+    } else {
+      return std::nullopt;
+    }
+    out.rows.push_back(std::move(r));
+  }
+  return out;
+}
+
+json lease(double ttl_s) { return {{"ttl_ms", static_cast<int64_t>(std::lround(ttl_s * 1000))}}; }
+
+std::optional<uint64_t> parse_lease(const json& b) {
+  const json* v = field(b, "tether");
+  if (!v || !v->is_number_integer()) return std::nullopt;
+  return v->get<uint64_t>();
+}
+
+}  // namespace rookdyke::wire
