--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -162,6 +162,7 @@
   const auto spec = wire::parse_job(*body, error);
   if (!spec) {
     if (decided_elsewhere()) return;
+    spdlog::info("submission {} refused: {} is missing or invalid", *id, error);
     return reply(res, 400, {{"error", "missing or invalid: " + error}});
   }
   std::vector<TypeInfo> types;
