--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -38,8 +38,7 @@
 }
 
 double day_time() {
-  return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch())
-      .count();
+  return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
 }  // namespace
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -8,8 +8,7 @@
 
 using nlohmann::json;
 
-Client::Client(const Endpoint& at, net::Budget& budget)
-    : http_(at.host, at.port), budget_(budget) {
+Client::Client(const Endpoint& at, net::Budget& budget) : http_(at.host, at.port), budget_(budget) {
   http_.set_keep_alive(true);
   http_.set_tcp_nodelay(true);
   http_.set_url_encode(false);
@@ -25,8 +24,8 @@
   httplib::Result r =
       post ? http_.Post(path, body ? wire::pack(*body) : std::string(), type) : http_.Get(path);
   if (!r) {
-    a.sent = r.error() != httplib::Error::Connection &&
-             r.error() != httplib::Error::ConnectionTimeout;
+    a.sent =
+        r.error() != httplib::Error::Connection && r.error() != httplib::Error::ConnectionTimeout;
     spdlog::debug("cloud: {}: {}", path, httplib::to_string(r.error()));
     return a;
   }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -46,8 +46,7 @@
   e.host = s.substr(0, colon);
   const char* end = s.data() + s.size();
   auto [p, ec] = std::from_chars(s.data() + colon + 1, end, e.port);
-  if (ec != std::errc() || p != end || e.port < 1 || e.port > 65535)
-    bad(where + " has a bad port");
+  if (ec != std::errc() || p != end || e.port < 1 || e.port > 65535) bad(where + " has a bad port");
   return e;
 }
 
@@ -151,29 +150,28 @@
 void apply_ini(Config& c, const std::string& path) {
   Tuning& t = c.core.tuning;
   IniReader reader;
-  reader.known = {
-      {"forecast",
-       {{"sample_s", {&t.sample_s, nullptr, 0.5, 600}},
-        {"trend_s", {&t.trend_s, nullptr, 0, 3600}},
-        {"percentile", {&t.percentile, nullptr, 0.01, 1}},
-        {"history", {nullptr, &t.history, 1, 100000}},
-        {"safe_fraction", {&t.safe_fraction, nullptr, 0.05, 1}},
-        {"boot_window_s", {&t.boot_window_s, nullptr, 0, 3600}},
-        {"start_spare", {&t.start_spare, nullptr, 0, 1000}}}},
-      {"fleet",
-       {{"lull_s", {&t.lull_s, nullptr, 0, 86400}},
-        {"drain_deadline_s", {&t.drain_deadline_s, nullptr, 1, 86400}},
-        {"hire_every_s", {&t.hire_every_s, nullptr, 0.2, 600}},
-        {"refusal_s", {&t.refusal_s, nullptr, 1, 3600}},
-        {"boot_patience", {&t.boot_patience, nullptr, 1, 100}},
-        {"silence_s", {&t.silence_s, nullptr, 0, 3600}}}},
-      {"rounds",
-       {{"round_s", {&t.round_s, nullptr, 0.02, 60}},
-        {"round_max_s", {&t.round_max_s, nullptr, 0.02, 60}}}},
-      {"node",
-       {{"lease_ttl_s", {&c.lease_ttl_s, nullptr, 0.5, 60}},
-        {"watch_s", {&c.watch_s, nullptr, 0.02, 10}},
-        {"follow_s", {&c.follow_s, nullptr, 0.02, 10}}}}};
+  reader.known = {{"forecast",
+                   {{"sample_s", {&t.sample_s, nullptr, 0.5, 600}},
+                    {"trend_s", {&t.trend_s, nullptr, 0, 3600}},
+                    {"percentile", {&t.percentile, nullptr, 0.01, 1}},
+                    {"history", {nullptr, &t.history, 1, 100000}},
+                    {"safe_fraction", {&t.safe_fraction, nullptr, 0.05, 1}},
+                    {"boot_window_s", {&t.boot_window_s, nullptr, 0, 3600}},
+                    {"start_spare", {&t.start_spare, nullptr, 0, 1000}}}},
+                  {"fleet",
+                   {{"lull_s", {&t.lull_s, nullptr, 0, 86400}},
+                    {"drain_deadline_s", {&t.drain_deadline_s, nullptr, 1, 86400}},
+                    {"hire_every_s", {&t.hire_every_s, nullptr, 0.2, 600}},
+                    {"refusal_s", {&t.refusal_s, nullptr, 1, 3600}},
+                    {"boot_patience", {&t.boot_patience, nullptr, 1, 100}},
+                    {"silence_s", {&t.silence_s, nullptr, 0, 3600}}}},
+                  {"rounds",
+                   {{"round_s", {&t.round_s, nullptr, 0.02, 60}},
+                    {"round_max_s", {&t.round_max_s, nullptr, 0.02, 60}}}},
+                  {"node",
+                   {{"lease_ttl_s", {&c.lease_ttl_s, nullptr, 0.5, 60}},
+                    {"watch_s", {&c.watch_s, nullptr, 0.02, 10}},
+                    {"follow_s", {&c.follow_s, nullptr, 0.02, 10}}}}};
   const int rc = ini_parse(
       path.c_str(),
       [](void* user, const char* section, const char* name, const char* value) -> int {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -262,6 +262,15 @@
   a.grace_s = grace;
 }
 
+// A gang saves only when all its tasks are told to within gang_peer_s, so the orders for all go out
+// with the next reports, whichever machine has to be left.
+void Core::stop_with_gang(Job& job, Attempt& a, double grace) {
+  if (!job.gang()) return stop_attempt(job, a, grace);
+  const uint64_t number = a.number;
+  for (auto& [t, other] : job.attempts)
+    if (other.number == number) stop_attempt(job, other, grace);
+}
+
 void Core::mark_dirty(Job& job, uint32_t task) { dirty_.insert({job.id, task / job.per}); }
 
 void Core::end_attempt(Job& job, uint32_t task, Cause cause, double now, const char* why) {
@@ -271,7 +280,8 @@
   if (a.state == AttemptState::proposed) return;  // settled by its transaction
   if (!set_state(job, a, AttemptState::ended)) return;
   a.cause = cause;
-  spdlog::debug("task {}/{} attempt {} is off ({})", job.spec.id, task, a.number, why);
+  spdlog::debug("task {}/{} attempt {} is off ({}, cause {})", job.spec.id, task, a.number, why,
+                static_cast<int>(cause));
   vacate(job, a);
   if (job.state == JobState::aborted) {
     drop_if_over(job.id);
@@ -537,8 +547,8 @@
         job.stamp = r.revision;
         if (!set_state(job, JobState::done)) break;
         for (const ledger::Change& c : f.txn.changes)
-          if (c.erase) job.chunks.erase(static_cast<uint32_t>(
-                           std::stoul(c.key.substr(c.key.rfind('/') + 1))));
+          if (c.erase)
+            job.chunks.erase(static_cast<uint32_t>(std::stoul(c.key.substr(c.key.rfind('/') + 1))));
         while (!job.attempts.empty()) release(job, job.attempts.begin()->first);
         closing_.erase(job.id);
         spdlog::debug("job {} is done", job.spec.id);
@@ -549,8 +559,7 @@
     case Flight::Kind::sweep:
       if (applied)
         for (const ledger::Change& c : f.txn.changes)
-          job.chunks.erase(
-              static_cast<uint32_t>(std::stoul(c.key.substr(c.key.rfind('/') + 1))));
+          job.chunks.erase(static_cast<uint32_t>(std::stoul(c.key.substr(c.key.rfind('/') + 1))));
       break;
     case Flight::Kind::fleet:
       break;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -34,9 +34,9 @@
   uint64_t session = 0;
   AttemptState state = AttemptState::proposed;
   Cause cause = Cause::none;
-  bool stop = false;        // it is to leave its machine
-  double grace_s = 0;       // with this much time to save
-  double since = 0;         // proposed or taken over at
+  bool stop = false;   // it is to leave its machine
+  double grace_s = 0;  // with this much time to save
+  double since = 0;    // proposed or taken over at
   double running_since = 0;
   // The report in whose answer `run` was last ordered; (0,0): never by this leader.
   uint64_t ordered_session = 0, ordered_seq = 0;
@@ -51,20 +51,20 @@
   uint64_t stamp = 0;
   double at_s = 0;
   uint32_t per = 1;
-  std::set<uint32_t> waiting;                      // tasks without an attempt
-  std::map<uint32_t, Attempt> attempts;            // at most one per task, ever (rule ran_twice)
+  std::set<uint32_t> waiting;            // tasks without an attempt
+  std::map<uint32_t, Attempt> attempts;  // at most one per task, ever (rule ran_twice)
   ledger::TaskSet done;
   uint32_t done_count = 0;
-  uint64_t top = 0;                                // highest attempt number used
+  uint64_t top = 0;  // highest attempt number used
   struct Chunk {
     uint64_t stamp = 0;
     bool dirty = false, in_flight = false;
   };
   std::map<uint32_t, Chunk> chunks;
-  bool stale = false;       // its row changed under us; wait for the watch
-  double not_before = 0;    // back-off after errors of its own
-  double retry_at = 0;      // after a refused transaction
-  std::set<Index> erred_on; // machines where it failed since it last succeeded
+  bool stale = false;        // its row changed under us; wait for the watch
+  double not_before = 0;     // back-off after errors of its own
+  double retry_at = 0;       // after a refused transaction
+  std::set<Index> erred_on;  // machines where it failed since it last succeeded
   uint32_t errors = 0;
   uint32_t tasks() const { return spec.tasks; }
   bool gang() const { return spec.shape == Shape::gang; }
@@ -80,18 +80,18 @@
   double hired_at = 0;
   double last_report = 0;
   double draining_since = 0;
-  double recall_at = -1;     // when the cloud takes it; negative: no notice
+  double recall_at = -1;  // when the cloud takes it; negative: no notice
   uint64_t session = 0, seq = 0;
-  bool heard = false;        // reported to this leader
-  bool was_up = false;       // the ledger has attempts on it, or it reported
-  bool listed = false;       // seen in the cloud's list, or unlisted since `unlisted_at`
+  bool heard = false;   // reported to this leader
+  bool was_up = false;  // the ledger has attempts on it, or it reported
+  bool listed = false;  // seen in the cloud's list, or unlisted since `unlisted_at`
   double unlisted_at = -1;
-  bool cordoned = false;     // never used again
-  bool strays = false;       // holds tasks the ledger does not know; nothing new until gone
-  bool returning = false;    // a return call is under way
+  bool cordoned = false;   // never used again
+  bool strays = false;     // holds tasks the ledger does not know; nothing new until gone
+  bool returning = false;  // a return call is under way
   double return_after = 0;
-  Amounts used;              // by attempts that are not ended
-  std::vector<std::pair<Index, uint32_t>> tasks;  // (job, task) of attempts that are not ended
+  Amounts used;                                       // by attempts that are not ended
+  std::vector<std::pair<Index, uint32_t>> tasks;      // (job, task) of attempts that are not ended
   std::map<Index, std::pair<double, double>> images;  // image -> (last used, size)
   std::set<Index> err_jobs;  // distinct jobs that failed here since a success
   double suspect_until = 0;
@@ -177,6 +177,7 @@
   void after_end(Job& job, const Attempt& a, double now);
   void release(Job& job, uint32_t task);  // forget an attempt whose removal is durable
   void stop_attempt(Job& job, Attempt& a, double grace);
+  void stop_with_gang(Job& job, Attempt& a, double grace);
   void mark_dirty(Job& job, uint32_t task);
   PendingTransaction chunk_transaction(Job& job, uint32_t chunk);
   PendingTransaction closing_transaction(Job& job);
@@ -239,7 +240,7 @@
   // By machine index. Machines that are gone stay as tombstones: late reports and lagging lists
   // still name them, and must not bring them back.
   std::vector<std::unique_ptr<Machine>> machines_;
-  std::vector<Index> order_;                        // open jobs, most urgent first
+  std::vector<Index> order_;  // open jobs, most urgent first
   bool order_stale_ = true;
   std::vector<Amounts> team_used_;  // by team index
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -92,11 +92,12 @@
     s.forecast.sample(now, s.demand);
     s.target = s.forecast.target(types_[t].size);
     const Amounts spare = s.forecast.spare();
-    spdlog::debug("type {}: demand {:.0f} cpus {:.0f} gpus {:.0f} gb, ahead {:.0f}/{:.0f}/{:.0f}, "
-                  "spare {:.0f}/{:.0f}/{:.0f}, target {:.0f}",
-                  types_[t].name, s.demand.cpus, s.demand.gpus, s.demand.mem,
-                  s.forecast.ahead().cpus, s.forecast.ahead().gpus, s.forecast.ahead().mem,
-                  spare.cpus, spare.gpus, spare.mem, s.target);
+    spdlog::debug(
+        "type {}: demand {:.0f} cpus {:.0f} gpus {:.0f} gb, ahead {:.0f}/{:.0f}/{:.0f}, "
+        "spare {:.0f}/{:.0f}/{:.0f}, target {:.0f}",
+        types_[t].name, s.demand.cpus, s.demand.gpus, s.demand.mem, s.forecast.ahead().cpus,
+        s.forecast.ahead().gpus, s.forecast.ahead().mem, spare.cpus, spare.gpus, spare.mem,
+        s.target);
   }
 }
 
@@ -183,7 +184,8 @@
   }
   if (zone == kNone) return;
   // Spread over the zones, so that a cut or a wave takes less.
-  count = std::min({count, 50.0, std::max(1.0, std::ceil(gap / std::max<size_t>(1, per_zone.size())))});
+  count =
+      std::min({count, 50.0, std::max(1.0, std::ceil(gap / std::max<size_t>(1, per_zone.size())))});
   Hire h;
   // Invariant 5: the token makes the name unique among leaders, the number within this one.
   h.name = "h-" + std::to_string(token_) + "-" + std::to_string(++next_hire_);
@@ -257,8 +259,7 @@
           } else if (now - m.draining_since > settings_.tuning.drain_deadline_s) {
             for (const auto& [j, t] : m.tasks) {
               Job& job = *jobs_.at(j);
-              for (auto& [task, a] : job.attempts)
-                if (job.gang() || task == t) stop_attempt(job, a, job.spec.save_s + 1);
+              stop_with_gang(job, job.attempts.at(t), job.spec.save_s + 1);
             }
           }
         }
--- a/src/core/forecast.cpp
+++ b/src/core/forecast.cpp
@@ -13,8 +13,8 @@
   std::vector<double> v;
   v.reserve(misses.size());
   for (const Amounts& m : misses) v.push_back(m.*field);
-  const size_t rank = std::clamp<size_t>(static_cast<size_t>(std::ceil(share * v.size())), 1,
-                                         v.size());
+  const size_t rank =
+      std::clamp<size_t>(static_cast<size_t>(std::ceil(share * v.size())), 1, v.size());
   std::nth_element(v.begin(), v.begin() + (rank - 1), v.end());
   return v[rank - 1];
 }
--- a/src/core/forecast.h
+++ b/src/core/forecast.h
@@ -35,9 +35,9 @@
 
   Tuning tuning_;
   double ahead_;
-  std::deque<Point> recent_;   // demand samples within the trend window
-  std::deque<Point> pending_;  // forecasts that have not come due
-  std::deque<Amounts> misses_; // actual minus forecast, positive part, newest last
+  std::deque<Point> recent_;    // demand samples within the trend window
+  std::deque<Point> pending_;   // forecasts that have not come due
+  std::deque<Amounts> misses_;  // actual minus forecast, positive part, newest last
   Amounts next_;
 };
 
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -65,13 +65,23 @@
 namespace {
 
 json encode_spec(const JobSpec& s) {
-  return {{"lot", s.lot},         {"team", s.team},         {"image", s.image},
-          {"zone", s.zone},       {"gang", s.shape == Shape::gang},
-          {"rank", static_cast<int>(s.rank)},               {"cpus", s.each.cpus},
-          {"gpus", s.each.gpus},  {"mem", s.each.mem},      {"image_gb", s.image_gb},
-          {"types", s.types},     {"one_zone", s.one_zone}, {"scatter", s.scatter},
-          {"spot", s.spot},       {"estimate", s.estimate_s},
-          {"checkpoint", s.checkpoint_s},                   {"save", s.save_s},
+  return {{"lot", s.lot},
+          {"team", s.team},
+          {"image", s.image},
+          {"zone", s.zone},
+          {"gang", s.shape == Shape::gang},
+          {"rank", static_cast<int>(s.rank)},
+          {"cpus", s.each.cpus},
+          {"gpus", s.each.gpus},
+          {"mem", s.each.mem},
+          {"image_gb", s.image_gb},
+          {"types", s.types},
+          {"one_zone", s.one_zone},
+          {"scatter", s.scatter},
+          {"spot", s.spot},
+          {"estimate", s.estimate_s},
+          {"checkpoint", s.checkpoint_s},
+          {"save", s.save_s},
           {"due", s.due_s}};
 }
 
@@ -154,9 +164,15 @@
 json encode_types(const std::vector<TypeInfo>& types) {
   json out = json::array();
   for (const TypeInfo& t : types)
-    out.push_back({{"name", t.name},       {"cpus", t.size.cpus},      {"gpus", t.size.gpus},
-                   {"mem", t.size.mem},    {"cache_gb", t.cache_gb},   {"fetch", t.fetch_gb_per_s},
-                   {"price", t.price},     {"spot_price", t.spot_price}, {"boot_s", t.boot_s},
+    out.push_back({{"name", t.name},
+                   {"cpus", t.size.cpus},
+                   {"gpus", t.size.gpus},
+                   {"mem", t.size.mem},
+                   {"cache_gb", t.cache_gb},
+                   {"fetch", t.fetch_gb_per_s},
+                   {"price", t.price},
+                   {"spot_price", t.spot_price},
+                   {"boot_s", t.boot_s},
                    {"zones", t.zones}});
   return {{"types", out}};
 }
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -67,9 +67,9 @@
 struct JobRow {
   Standing standing = Standing::open;
   uint32_t tasks = 0;
-  uint32_t per = 0;            // tasks per chunk
-  double at_s = 0;             // time of day of its acceptance, for order only
-  std::optional<JobSpec> spec; // dropped at the end
+  uint32_t per = 0;             // tasks per chunk
+  double at_s = 0;              // time of day of its acceptance, for order only
+  std::optional<JobSpec> spec;  // dropped at the end
   std::string mark;
 };
 
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -47,10 +47,12 @@
     Index job;
   };
   std::vector<Entry> v;
-  const bool any_guarantee = std::any_of(settings_.teams.begin(), settings_.teams.end(),
-                                         [](const TeamInfo& t) { return t.cpus > 0 || t.gpus > 0; });
+  const bool any_guarantee =
+      std::any_of(settings_.teams.begin(), settings_.teams.end(),
+                  [](const TeamInfo& t) { return t.cpus > 0 || t.gpus > 0; });
   for (const auto& [i, job] : jobs_)
-    if (!job->over()) v.push_back({any_guarantee && guaranteed(*job), job->spec.rank, job->at_s, i});
+    if (!job->over())
+      v.push_back({any_guarantee && guaranteed(*job), job->spec.rank, job->at_s, i});
   std::sort(v.begin(), v.end(), [](const Entry& a, const Entry& b) {
     if (a.guaranteed != b.guaranteed) return a.guaranteed;
     if (a.rank != b.rank) return a.rank > b.rank;
@@ -283,11 +285,11 @@
     m.reserved_until = now + kReserve;
     for (const auto& [j, t] : best_victims) {
       Job& v = *jobs_.at(j);
-      stop_attempt(v, v.attempts.at(t),
-                   v.spec.checkpoint_s > 0 ? v.spec.save_s + kGraceMargin : 0);
+      stop_attempt(v, v.attempts.at(t), v.spec.checkpoint_s > 0 ? v.spec.save_s + kGraceMargin : 0);
     }
-    spdlog::info("job {}: {} tasks on {} stopped to make room", job.spec.id, best_victims.size(),
-                 m.name);
+    if (!best_victims.empty())
+      spdlog::info("job {}: {} tasks on {} stopped to make room", job.spec.id, best_victims.size(),
+                   m.name);
     ++pending;
   }
 }
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -126,7 +126,7 @@
     const bool can_save = job.spec.checkpoint_s > 0 && a.state == AttemptState::running;
     if (can_save) {
       if (job.spec.save_s + kGraceMargin < notice_s)
-        stop_attempt(job, a, job.spec.save_s + kGraceMargin);
+        stop_with_gang(job, a, job.spec.save_s + kGraceMargin);
     } else if (a.state != AttemptState::running && a.state != AttemptState::saving) {
       stop_attempt(job, a, 0);  // nothing to lose yet: let it start elsewhere
     }
--- a/src/core/states.cpp
+++ b/src/core/states.cpp
@@ -9,8 +9,8 @@
   return kNames[static_cast<size_t>(s)];
 }
 std::string_view to_string(AttemptState s) {
-  static constexpr std::array<std::string_view, 7> kNames{"proposed", "placed", "pulling", "gathering",
-                                                          "running",  "saving", "ended"};
+  static constexpr std::array<std::string_view, 7> kNames{
+      "proposed", "placed", "pulling", "gathering", "running", "saving", "ended"};
   return kNames[static_cast<size_t>(s)];
 }
 std::string_view to_string(MachineState s) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -21,8 +21,7 @@
 }  // namespace
 
 double steady_now() {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch())
-      .count();
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
 }
 
 std::string_view to_string(Role r) {
@@ -47,8 +46,8 @@
       cloud_budget_(config_.cloud_rps),
       random_(std::random_device{}()) {
   const size_t most =
-      std::min(kMaxConnections, config_.max_sockets > 128 ? config_.max_sockets - 64
-                                                          : config_.max_sockets / 2);
+      std::min(kMaxConnections,
+               config_.max_sockets > 128 ? config_.max_sockets - 64 : config_.max_sockets / 2);
   api_ = std::make_unique<net::Server>(
       config_.bind, most, 64 * 1024,
       [this](const httplib::Request& q, httplib::Response& r) { serve(q, r); });
@@ -110,9 +109,8 @@
   std::unique_lock lock(barrier_mutex_);
   const uint64_t mine = ++barrier_asked_;
   watch_cv_.notify_all();
-  barrier_cv_.wait_for(lock, std::chrono::duration<double>(timeout_s), [&] {
-    return stop_ || barrier_done_ >= mine || barrier_failed_ >= mine;
-  });
+  barrier_cv_.wait_for(lock, std::chrono::duration<double>(timeout_s),
+                       [&] { return stop_ || barrier_done_ >= mine || barrier_failed_ >= mine; });
   return barrier_done_ >= mine;
 }
 
@@ -172,10 +170,11 @@
     uint64_t asked = 0;
     {
       std::unique_lock lock(barrier_mutex_);
-      const auto due = [&] { return stop_ || barrier_asked_ > std::max(barrier_done_, barrier_failed_); };
+      const auto due = [&] {
+        return stop_ || barrier_asked_ > std::max(barrier_done_, barrier_failed_);
+      };
       const double until = last + interval - steady_now();
-      if (loaded && until > 0)
-        watch_cv_.wait_for(lock, std::chrono::duration<double>(until), due);
+      if (loaded && until > 0) watch_cv_.wait_for(lock, std::chrono::duration<double>(until), due);
       const double soon = last + gap - steady_now();
       if (soon > 0 && !stop_) {
         lock.unlock();
@@ -256,10 +255,7 @@
   ledger::Transaction t;
   t.mark = config_.core.label + "." + std::to_string(*lease);
   t.conditions = {{ledger::kLeaderKey, 0}};
-  t.changes = {{ledger::kLeaderKey,
-                false,
-                {{"label", config_.core.label}, {"w", t.mark}},
-                *lease}};
+  t.changes = {{ledger::kLeaderKey, false, {{"label", config_.core.label}, {"w", t.mark}}, *lease}};
   ledger::Result r = client.commit(t, 0.5);
   if (r.outcome == ledger::Outcome::unknown) r = client.commit_repeated(t, 0.5);
   if (r.outcome != ledger::Outcome::applied) {
@@ -353,8 +349,9 @@
       next_renewal = 0;
     }
     std::unique_lock lock(mutex_);
-    const double wait =
-        leads() ? std::max(0.02, next_renewal - steady_now()) : mirror_.leader().empty() ? 0.1 : 0.5;
+    const double wait = leads()                    ? std::max(0.02, next_renewal - steady_now())
+                        : mirror_.leader().empty() ? 0.1
+                                                   : 0.5;
     nap(lock, lead_cv_, wait);
   }
   std::unique_lock lock(mutex_);
@@ -384,17 +381,17 @@
         core_->round(now);
         const double took = steady_now() - now;
         // Under load rounds come more seldom and each takes more at once.
-        interval = std::clamp(12 * took, config_.core.tuning.round_s,
-                              config_.core.tuning.round_max_s);
+        interval =
+            std::clamp(12 * took, config_.core.tuning.round_s, config_.core.tuning.round_max_s);
         commit_cv_.notify_all();
         cloud_cv_.notify_all();
         if (now >= next_summary) {
           next_summary = now + 10;
           const auto s = core_->summary(now);
-          spdlog::info("jobs {} waiting {} live {}; machines ready {} booting {} draining {} "
-                       "silent {}, target {}",
-                       s.jobs, s.waiting, s.live, s.ready, s.booting, s.draining, s.silent,
-                       s.target);
+          spdlog::info(
+              "jobs {} waiting {} live {}; machines ready {} booting {} draining {} "
+              "silent {}, target {}",
+              s.jobs, s.waiting, s.live, s.ready, s.booting, s.draining, s.silent, s.target);
         }
       }
     } else if (role_ == Role::doubtful && core_ && core_->lost()) {
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -96,7 +96,7 @@
   std::mutex barrier_mutex_;
   std::condition_variable barrier_cv_, watch_cv_;
   uint64_t barrier_asked_ = 0, barrier_done_ = 0, barrier_failed_ = 0;
-  uint64_t revision_ = 0;     // the mirror holds all up to here (watcher's own)
+  uint64_t revision_ = 0;  // the mirror holds all up to here (watcher's own)
   std::atomic<bool> loaded_{false};
   std::atomic<double> state_ok_at_{-1e9};
   std::atomic<double> siblings_ok_at_{-1e9};  // a sibling last said that the state answers it
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -18,9 +18,9 @@
 
 struct View {
   std::string label;
-  std::string leader;      // empty: none known
-  uint64_t token = 0;      // the leader's
-  bool state_ok = false;   // the state service answered lately
+  std::string leader;     // empty: none known
+  uint64_t token = 0;     // the leader's
+  bool state_ok = false;  // the state service answered lately
 };
 
 nlohmann::json encode(const View& v);
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -15,10 +15,10 @@
 
 namespace {
 
-constexpr int kIdleMs = 60'000;   // a silent kept-open connection is closed after this
-constexpr int kReadMs = 5'000;    // within a request
+constexpr int kIdleMs = 60'000;  // a silent kept-open connection is closed after this
+constexpr int kReadMs = 5'000;   // within a request
 constexpr int kWriteMs = 5'000;
-constexpr int kBacklog = 512;     // the library's is 5
+constexpr int kBacklog = 512;       // the library's is 5
 constexpr size_t kStack = 1 << 20;  // reserved, not used: the library matches headers recursively
 
 bool wait_for(int fd, short events, int ms) {
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -30,8 +30,8 @@
                                          : http_.Post(path, payload, type);
   if (!r) {
     // Without a connection nothing was sent; anything else leaves it open.
-    a.sent = r.error() != httplib::Error::Connection &&
-             r.error() != httplib::Error::ConnectionTimeout;
+    a.sent =
+        r.error() != httplib::Error::Connection && r.error() != httplib::Error::ConnectionTimeout;
     spdlog::debug("state: {} {}: {}", method, path, httplib::to_string(r.error()));
     return a;
   }
@@ -123,8 +123,7 @@
 
 Client::Renewal Client::renew(uint64_t lease) {
   const json body = json::object();
-  const Answer a =
-      call("POST", "/leases/" + std::to_string(lease) + "/renew", &body, 0, 0.5);
+  const Answer a = call("POST", "/leases/" + std::to_string(lease) + "/renew", &body, 0, 0.5);
   if (a.status == 200) return Renewal::kept;
   if (a.status == 404) return Renewal::ended;
   return Renewal::unknown;
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -31,7 +31,7 @@
   ledger::Result commit_repeated(const ledger::Transaction& t, double max_wait_s);
 
   struct Read {
-    bool ok = false;      // answered; `row` empty: no such key
+    bool ok = false;  // answered; `row` empty: no such key
     std::optional<wire::Row> row;
   };
   Read get(const std::string& key, double max_wait_s);
@@ -50,8 +50,8 @@
 
  private:
   struct Answer {
-    int status = 0;       // 0: none
-    bool sent = false;    // it may have been executed
+    int status = 0;     // 0: none
+    bool sent = false;  // it may have been executed
     nlohmann::json body;
   };
   Answer call(const char* method, const std::string& path, const nlohmann::json* body,
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -180,7 +180,9 @@
   name("shape", word);
   if (word == "ensemble")
     s.shape = Shape::gang;
-  else if (word != "array")
+  else if (word != "array" && word != "service")
+    // The protocol page names no services, but users submit them (docs/questions.md): tasks that
+    // run until they are cancelled, scheduled like those of an array.
     error = "shape";
   word.clear();
   name("rank", word);
@@ -290,9 +292,8 @@
 json report_answer(uint64_t token, const std::vector<Order>& orders) {
   json list = json::array();
   for (const Order& o : orders) {
-    json e = {{"verb", verb(o.verb)},
-              {"shift", o.job + "/" + std::to_string(o.task)},
-              {"go", o.attempt}};
+    json e = {
+        {"verb", verb(o.verb)}, {"shift", o.job + "/" + std::to_string(o.task)}, {"go", o.attempt}};
     if (o.verb == Verb::stop) e["leave_s"] = o.grace_s;
     list.push_back(std::move(e));
   }
--- /dev/null
+++ b/tests/checker.cpp
@@ -0,0 +1,112 @@
+#include "checker.h"
+
+#include <algorithm>
+
+namespace rookdyke::test {
+
+void Checker::breaks(double now, const std::string& rule, const std::string& what) {
+  broken_.push_back(rule + " at " + std::to_string(now) + ": " + what);
+}
+
+bool Checker::is_broken(const std::string& rule) const {
+  return std::any_of(broken_.begin(), broken_.end(),
+                     [&](const std::string& b) { return b.rfind(rule + " ", 0) == 0; });
+}
+
+void Checker::told(double now, const std::string& id, const std::string& a, bool cancel_asked) {
+  auto it = jobs_.find(id);
+  const bool standing = a == "pending" || a == "running" || a == "done" || a == "aborted";
+  if (it == jobs_.end() || it->second.spec.id.empty()) {
+    if (standing) breaks(now, "invented", id + " is " + a);
+    return;
+  }
+  JobTruth& j = it->second;
+  j.failing_since = -1;
+  j.cancel_asked = j.cancel_asked || cancel_asked;
+  if (!standing) {
+    if (j.accepted && (a == "404" || a == "400" || a == "422"))
+      breaks(now, "forgotten", id + " is answered " + a);
+    return;
+  }
+  j.accepted = true;
+  if (j.called_done && a != "done") breaks(now, "went_back", id + " was done, is " + a);
+  if (j.called_aborted && a != "aborted") breaks(now, "went_back", id + " was aborted, is " + a);
+  if (a == "aborted" && !j.cancel_asked) breaks(now, "went_back", id + " was never cancelled");
+  if (a == "done") {
+    if (j.done.size() < j.spec.tasks) breaks(now, "not_done", id);
+    j.called_done = true;
+  }
+  if (a == "aborted") {
+    if (!j.called_aborted) j.aborted_at = now;
+    j.called_aborted = true;
+  }
+}
+
+void Checker::poll_failed(double now, const std::string& id, bool others_answered) {
+  JobTruth& j = jobs_[id];
+  if (!j.accepted || !others_answered) return;
+  if (j.failing_since < 0) j.failing_since = now;
+  if (now - j.failing_since > 90) {
+    breaks(now, "forgotten", id + " cannot be asked about");
+    j.failing_since = now;
+  }
+}
+
+void Checker::starts(double now, const std::string& id, uint32_t task, const Place& at) {
+  ++starts_;
+  JobTruth& j = jobs_[id];
+  const std::string name = id + "/" + std::to_string(task);
+  for (const auto& [m, p] : j.on[task])
+    if (m != at.machine) breaks(now, "ran_twice", name + " on " + m + " and " + at.machine);
+  if (j.aborted_at >= 0 && now > j.aborted_at + cancel_s_)
+    breaks(now, "ran_cancelled", name + " starts");
+  bool place_ok = !at.spot || j.spec.spot;
+  place_ok = place_ok && (j.spec.zone.empty() || j.spec.zone == at.zone);
+  place_ok = place_ok &&
+             (j.spec.types.empty() ||
+              std::find(j.spec.types.begin(), j.spec.types.end(), at.type) != j.spec.types.end());
+  uint32_t same = 1;
+  for (const auto& [t, places] : j.on) {
+    if (t == task) continue;
+    for (const auto& [m, p] : places) {
+      if (p.zone == at.zone)
+        ++same;
+      else if (j.spec.one_zone)
+        place_ok = false;
+    }
+  }
+  if (j.spec.scatter && same > (j.spec.tasks + 1) / 2) place_ok = false;
+  if (!place_ok) breaks(now, "wrong_place", name + " on " + at.machine + " in " + at.zone);
+  j.on[task][at.machine] = at;
+  for (const TeamInfo& team : teams_) {
+    if (team.name != j.spec.team) continue;
+    double cpus = 0, gpus = 0;
+    for (const auto& [other_id, o] : jobs_) {
+      if (o.spec.team != team.name) continue;
+      for (const auto& [t, places] : o.on) {
+        cpus += o.spec.each.cpus * static_cast<double>(places.size());
+        gpus += o.spec.each.gpus * static_cast<double>(places.size());
+      }
+    }
+    if ((team.cpus_max > 0 && cpus > team.cpus_max + 1e-6) ||
+        (team.gpus_max > 0 && gpus > team.gpus_max + 1e-6))
+      breaks(now, "quota", team.name + " with " + name);
+  }
+}
+
+void Checker::leaves(const std::string& id, uint32_t task, const std::string& machine) {
+  jobs_[id].on[task].erase(machine);
+}
+
+void Checker::tick(double now) {
+  for (auto& [id, j] : jobs_) {
+    if (j.aborted_at < 0 || now <= j.aborted_at + cancel_s_) continue;
+    for (const auto& [t, places] : j.on)
+      if (!places.empty()) {
+        breaks(now, "ran_cancelled", id + "/" + std::to_string(t) + " is still on a machine");
+        return;
+      }
+  }
+}
+
+}  // namespace rookdyke::test
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,96 @@
+#include "config/config.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace rookdyke {
+namespace {
+
+using nlohmann::json;
+
+json good() {
+  return json::parse(R"({
+    "label": "n0", "location": "a", "bind": "127.0.0.1:1", "mesh_addr": "127.0.0.1:2",
+    "siblings": [{"label": "n1", "location": "a", "endpoint": "127.0.0.1:3"}],
+    "external": {"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
+    "params": {"nodes": 2, "zones": ["a"],
+      "teams": [{"name": "t", "cpus": 1.0, "cpus_max": 2.0, "gpus": 0.0, "gpus_max": 0.0}],
+      "workers": {"report_s": 3.0, "lease_s": 20.0, "gang_wait_s": 40.0, "gang_peer_s": 6.0,
+                  "cancel_s": 50.0},
+      "state": {"rps": 100.0, "write_rps": 20.0, "value_kb": 8.0, "txn_ops": 8},
+      "cloud": {"rps": 4.0, "list_lag_s": 3.0},
+      "resources": {"cores": 0.2, "memory_mb": 100.0, "max_sockets": 1500}},
+    "something_new": [1, 2]})");
+}
+
+std::string error_of(const json& j) {
+  try {
+    parse_config(j.dump());
+    return "";
+  } catch (const ConfigError& e) {
+    return e.what();
+  }
+}
+
+TEST(Config, TakesThePlatformsFileAndIgnoresWhatItDoesNotKnow) {
+  const Config c = parse_config(good().dump());
+  EXPECT_EQ(c.core.label, "n0");
+  EXPECT_EQ(c.siblings.at(0).mesh.port, 3);
+  EXPECT_EQ(c.core.value_bytes, 8192u);
+  EXPECT_DOUBLE_EQ(c.core.teams.at(0).cpus_max, 2);
+}
+
+TEST(Config, NamesWhatIsMissingOrBad) {
+  json j = good();
+  j.erase("bind");
+  EXPECT_NE(error_of(j).find("bind"), std::string::npos);
+  j = good();
+  j["params"]["workers"]["lease_s"] = "long";
+  EXPECT_NE(error_of(j).find("params.workers.lease_s"), std::string::npos);
+  j = good();
+  j["external"]["state"] = "127.0.0.1:99999";
+  EXPECT_NE(error_of(j).find("external.state"), std::string::npos);
+  j = good();
+  j["params"]["state"]["rps"] = -1;
+  EXPECT_NE(error_of(j).find("params.state.rps"), std::string::npos);
+  EXPECT_FALSE(error_of(json::array()).empty());
+}
+
+class Ini : public testing::Test {
+ protected:
+  std::string error_of(const std::string& text) {
+    const std::string path = testing::TempDir() + "rookdyke_test.ini";
+    std::ofstream(path) << text;
+    std::string error;
+    try {
+      apply_ini(config, path);
+    } catch (const ConfigError& e) {
+      error = e.what();
+    }
+    std::remove(path.c_str());
+    return error;
+  }
+  Config config = parse_config(good().dump());
+};
+
+TEST_F(Ini, SetsTuning) {
+  EXPECT_EQ(error_of("[forecast]\npercentile = 0.9\nhistory = 50\n[fleet]\nlull_s = 45\n"), "");
+  EXPECT_DOUBLE_EQ(config.core.tuning.percentile, 0.9);
+  EXPECT_EQ(config.core.tuning.history, 50);
+  EXPECT_DOUBLE_EQ(config.core.tuning.lull_s, 45);
+}
+
+TEST_F(Ini, RefusesWhatItDoesNotKnowOrCannotUse) {
+  EXPECT_NE(error_of("[forecast]\npercentil = 0.9\n").find("percentil"), std::string::npos);
+  EXPECT_NE(error_of("[forcast]\npercentile = 0.9\n").find("forcast"), std::string::npos);
+  EXPECT_NE(error_of("[forecast]\npercentile = 1.5\n").find("bad value"), std::string::npos);
+  EXPECT_NE(error_of("[forecast]\nhistory = 1.5\n").find("bad value"), std::string::npos);
+  EXPECT_NE(error_of("[fleet]\nlull_s = soon\n").find("bad value"), std::string::npos);
+  EXPECT_NE(error_of("[rounds]\nround_s = 2\nround_max_s = 1\n"), "");
+}
+
+}  // namespace
+}  // namespace rookdyke
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,139 @@
+// The forecast, the ledger's rows and the mirror, by themselves.
+
+#include <gtest/gtest.h>
+
+#include "core/forecast.h"
+#include "core/ledger.h"
+#include "core/mirror.h"
+#include "core/states.h"
+
+namespace rookdyke {
+namespace {
+
+using ledger::TaskSet;
+
+TEST(Forecast, BeginsWithOneSpareMachine) {
+  Forecast f(Tuning{}, 40);
+  f.sample(0, {});
+  EXPECT_DOUBLE_EQ(f.target({10, 1, 10}), 1);
+}
+
+TEST(Forecast, TheLargestResourceRatioDecides) {
+  Tuning t;
+  t.start_spare = 0;
+  Forecast f(t, 40);
+  f.sample(0, {18, 4, 9});  // of 90%: 2 by cpus, 4.4 by gpus, 1 by memory
+  EXPECT_DOUBLE_EQ(f.target({10, 1, 10}), 5);
+}
+
+TEST(Forecast, FollowsTheTrendOneBootAhead) {
+  Tuning t;
+  t.trend_s = 30;
+  Forecast f(t, 40);
+  for (int i = 0; i <= 6; ++i) f.sample(5 * i, {10.0 * i, 0, 0});
+  EXPECT_NEAR(f.ahead().cpus, 60 + 2 * 40, 1e-6);
+}
+
+TEST(Forecast, KeepsTheTailOfItsPositiveMisses) {
+  Tuning t;
+  t.trend_s = 0;  // the last sample is the forecast
+  t.percentile = 0.5;
+  t.history = 4;
+  Forecast f(t, 10);
+  const double demand[] = {10, 10, 14, 10, 10, 22};
+  for (int i = 0; i < 6; ++i) f.sample(5 * i, {demand[i], 0, 0});
+  // Forecasts of 10, 10, 14, 10 met 14, 10, 10, 22: misses 4, 0, 0, 12.
+  EXPECT_DOUBLE_EQ(f.spare().cpus, 0);
+  Forecast g = f;
+  g.sample(30, {30, 0, 0});  // forecast 10, miss 20: the kept ones are 0, 0, 12, 20
+  EXPECT_DOUBLE_EQ(g.spare().cpus, 0);
+  g.sample(35, {30, 0, 0});  // forecast 22, miss 8: 0, 12, 20, 8
+  EXPECT_DOUBLE_EQ(g.spare().cpus, 8);
+}
+
+TEST(TaskSet, JoinsRangesAndSurvivesItsEncoding) {
+  TaskSet s;
+  for (uint32_t t : {5u, 1u, 3u, 2u, 9u, 4u, 5u}) s.add(t);
+  EXPECT_EQ(s.count(), 6u);
+  EXPECT_EQ(s.ranges().size(), 2u);
+  EXPECT_TRUE(s.has(4));
+  EXPECT_FALSE(s.has(6));
+  const TaskSet back = TaskSet::decode(s.encode());
+  EXPECT_EQ(back.ranges(), s.ranges());
+}
+
+TEST(Ledger, AFullChunkFitsAValue) {
+  for (const size_t bytes : {1024u, 8192u, 65536u}) {
+    const uint32_t per = ledger::tasks_per_chunk(bytes);
+    ledger::Chunk c;
+    c.top = UINT64_MAX;
+    c.mark = "18446744073709551615.18446744073709551615";
+    for (uint32_t t = 0; t < per; ++t) {
+      if (t % 2 == 0)
+        c.done.add(99999 - t);
+      else
+        c.live.push_back({99999 - t, 1000000, "m-000000012345", 1000});
+    }
+    EXPECT_LE(ledger::encode(c).dump().size(), bytes) << per << " tasks";
+  }
+}
+
+TEST(Ledger, RowsSurviveTheirEncoding) {
+  ledger::JobRow row;
+  row.tasks = 7;
+  row.per = 3;
+  row.at_s = 12.5;
+  row.mark = "x.1";
+  row.spec = JobSpec{};
+  row.spec->team = "t";
+  row.spec->each = {1.5, 2, 3};
+  row.spec->shape = Shape::gang;
+  row.spec->rank = Rank::urgent;
+  row.spec->types = {"g8"};
+  const auto back = ledger::decode_job("wk-000001", ledger::encode(row));
+  ASSERT_TRUE(back && back->spec);
+  EXPECT_EQ(back->spec->id, "wk-000001");
+  EXPECT_EQ(back->spec->tasks, 7u);
+  EXPECT_EQ(back->spec->rank, Rank::urgent);
+  EXPECT_EQ(back->spec->types, row.spec->types);
+  EXPECT_DOUBLE_EQ(back->spec->each.cpus, 1.5);
+  EXPECT_FALSE(ledger::decode_job("wk-000001", {{"standing", "open"}}));
+}
+
+TEST(Mirror, IgnoresOlderRowsAndForgetsWhatAReloadDoesNotShow) {
+  Mirror m;
+  ledger::JobRow row;
+  row.tasks = 2;
+  row.per = 2;
+  row.spec = JobSpec{};
+  ledger::JobRow over = row;
+  over.standing = ledger::Standing::aborted;
+  m.put("rd/j/wk-000001", ledger::encode(over), 9);
+  m.put("rd/j/wk-000001", ledger::encode(row), 5);
+  ASSERT_TRUE(m.answer("wk-000001"));
+  EXPECT_EQ(m.answer("wk-000001")->standing, ledger::Standing::aborted);
+  m.put("rd/leader", {{"label", "n1"}}, 10);
+  EXPECT_EQ(m.leader(), "n1");
+  m.erase("rd/leader", 8);  // an older deletion
+  EXPECT_EQ(m.leader(), "n1");
+  m.begin_reload();
+  m.put("rd/j/wk-000001", ledger::encode(over), 9);
+  m.end_reload();
+  EXPECT_EQ(m.leader(), "");
+  EXPECT_TRUE(m.answer("wk-000001"));
+  EXPECT_FALSE(m.answer("wk-000002"));
+}
+
+TEST(States, TerminalStatesAreTerminal) {
+  for (const JobState to : {JobState::open, JobState::closing, JobState::done})
+    EXPECT_FALSE(allowed(JobState::aborted, to));
+  for (const JobState to : {JobState::open, JobState::closing, JobState::aborted})
+    EXPECT_FALSE(allowed(JobState::done, to));
+  EXPECT_FALSE(allowed(AttemptState::proposed, AttemptState::running));
+  EXPECT_FALSE(allowed(AttemptState::ended, AttemptState::running));
+  EXPECT_FALSE(allowed(MachineState::gone, MachineState::ready));
+  EXPECT_TRUE(allowed(MachineState::draining, MachineState::ready));
+}
+
+}  // namespace
+}  // namespace rookdyke
--- /dev/null
+++ b/tests/loopback_test.cpp
@@ -0,0 +1,365 @@
+// Two real nodes with their real servers and clients on loopback, against a state service, a
+// cloud and a worker written here. What is checked does not depend on timing: every wait has a
+// deadline far beyond what it takes.
+
+#include <gtest/gtest.h>
+#include <httplib.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "daemon/node.h"
+#include "mesh/mesh.h"
+#include "sim.h"
+#include "wire/wire.h"
+
+namespace rookdyke {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kPatienceS = 60;
+
+json body_of(const std::string& s) { return wire::unpack(s).value_or(json()); }
+
+void put(httplib::Response& res, int status, const json& j) {
+  res.status = status;
+  res.set_content(wire::pack(j), "application/msgpack");
+}
+
+// The state service's protocol over the scenarios' Store. Leases never run out here.
+class StateService {
+ public:
+  StateService()
+      : store_(clock_),
+        server_({"127.0.0.1", 0}, 64, 1 << 20,
+                [this](const httplib::Request& q, httplib::Response& r) { serve(q, r); }) {
+    EXPECT_TRUE(server_.start());
+  }
+  int port() const { return server_.port(); }
+  void set_outage(bool on) {
+    std::lock_guard lock(mutex_);
+    outage_ = on;
+  }
+
+ private:
+  void serve(const httplib::Request& q, httplib::Response& r) {
+    std::lock_guard lock(mutex_);
+    const json in = body_of(q.body);
+    const std::string path = q.target.substr(0, q.target.find('?'));
+    auto param = [&](const std::string& name) {
+      const size_t at = q.target.find(name + "=");
+      if (at == std::string::npos) return std::string();
+      const size_t from = at + name.size() + 1;
+      return q.target.substr(from, q.target.find('&', from) - from);
+    };
+    if (outage_) return put(r, 503, {{"error", "down"}});
+    if (path == "/txn") {
+      ledger::Transaction t;
+      for (const json& c : in.at("if"))
+        t.conditions.push_back({c.at("k").get<std::string>(), c.at("stamp").get<uint64_t>()});
+      for (const json& c : in.at("then")) {
+        if (c.contains("delete"))
+          t.changes.push_back({c.at("delete").get<std::string>(), true, {}, 0});
+        else
+          t.changes.push_back(
+              {c.at("write").get<std::string>(), false, c.at("v"), c.value("tether", uint64_t{0})});
+      }
+      const auto res = store_.commit(t);
+      if (res.outcome == ledger::Outcome::applied)
+        put(r, 200, {{"ledger", res.revision}});
+      else
+        put(r, 409, {{"failed", res.failed}, {"ledger", store_.revision}});
+    } else if (path == "/watch") {
+      json log = json::array();
+      for (const auto& e : store_.since(std::stoull(param("after")))) {
+        if (e.erased)
+          log.push_back({{"delete", e.key}, {"stamp", e.stamp}});
+        else
+          log.push_back({{"write", e.key}, {"v", e.value}, {"stamp", e.stamp}});
+      }
+      put(r, 200, {{"ledger", store_.revision}, {"log", log}});
+    } else if (path == "/keys") {
+      put(r, 200, {{"rows", json::array()}, {"truncated", false}, {"ledger", 0}});
+    } else if (path.rfind("/keys/", 0) == 0) {
+      const auto* e = store_.get(path.substr(6));
+      if (e)
+        put(r, 200, {{"k", path.substr(6)}, {"v", e->value}, {"stamp", e->stamp}});
+      else
+        put(r, 404, {{"ledger", store_.revision}});
+    } else if (path == "/leases") {
+      put(r, 200, {{"tether", store_.grant(1e9)}});
+    } else if (path.rfind("/leases/", 0) == 0) {
+      const uint64_t id = std::stoull(path.substr(8));
+      if (q.method == "DELETE") {
+        store_.drop(id);
+        put(r, 200, json::object());
+      } else {
+        put(r, store_.renew(id) ? 200 : 404, json::object());
+      }
+    } else {
+      put(r, 404, json::object());
+    }
+  }
+
+  std::mutex mutex_;
+  bool outage_ = false;
+  test::Clock clock_;
+  test::Store store_;
+  net::Server server_;
+};
+
+// A cloud with one small machine type; a rented machine is a thread that reports and runs every
+// task in no time.
+class CloudAndWorkers {
+ public:
+  CloudAndWorkers()
+      : server_({"127.0.0.1", 0}, 16, 1 << 20,
+                [this](const httplib::Request& q, httplib::Response& r) { serve(q, r); }) {
+    EXPECT_TRUE(server_.start());
+  }
+  ~CloudAndWorkers() {
+    stop_ = true;
+    for (auto& t : threads_) t.join();
+  }
+  int port() const { return server_.port(); }
+  void use(std::map<std::string, int> nodes) { nodes_ = std::move(nodes); }
+  size_t hired() {
+    std::lock_guard lock(mutex_);
+    return names_.size();
+  }
+
+ private:
+  void serve(const httplib::Request& q, httplib::Response& r) {
+    std::lock_guard lock(mutex_);
+    if (q.target == "/machine_types") {
+      put(r, 200,
+          {{"breeds",
+            {{{"name", "box"},
+              {"cpus", 4},
+              {"gpus", 0},
+              {"mem_gb", 8},
+              {"local_gb", 10},
+              {"fetch_gb_per_s", 1.0},
+              {"hourly", 1.0},
+              {"low_price", 0.5},
+              {"boot_s", 1.0},
+              {"yards", {"a"}}}}}});
+    } else if (q.target == "/machines" && q.method == "POST") {
+      const json in = body_of(q.body);
+      json names = json::array();
+      for (int i = 0; i < in.at("how_many").get<int>() && names_.size() < 4; ++i) {
+        const std::string name = "m-00000" + std::to_string(names_.size());
+        names_.push_back(name);
+        names.push_back(name);
+        const bool spot = in.at("loaners").get<bool>();
+        threads_.emplace_back([this, name, spot] { work(name, spot); });
+      }
+      if (names.empty())
+        put(r, 503, {{"error", "no capacity"}});
+      else
+        put(r, 200, {{"crofts", names}});
+    } else if (q.target == "/machines/return") {
+      put(r, 200, json::object());
+    } else {
+      put(r, 200, {{"crofts", json::array()}, {"truncated", false}});
+    }
+  }
+
+  void work(const std::string& name, bool spot) {
+    std::map<std::string, json> tasks;
+    uint64_t token = 0, tally = 0;
+    auto node = nodes_.begin();
+    while (!stop_) {
+      json list = json::array();
+      for (const auto& [k, t] : tasks) list.push_back(t);
+      httplib::Client c("127.0.0.1", node->second);
+      const auto r = c.Post("/hello",
+                            wire::pack({{"croft", name},
+                                        {"addr", ""},
+                                        {"breed", "box"},
+                                        {"yard", "a"},
+                                        {"loaners", spot},
+                                        {"tenure", 1},
+                                        {"tally", ++tally},
+                                        {"warrant", token},
+                                        {"shifts", list}}),
+                            "application/msgpack");
+      if (r && r->status == 200) {
+        const json a = body_of(r->body);
+        token = a.at("warrant").get<uint64_t>();
+        for (const json& o : a.at("orders")) {
+          const std::string k = o.at("shift").get<std::string>();
+          if (o.at("verb") == "run" && !tasks.count(k))
+            tasks[k] = {
+                {"shift", k}, {"go", o.at("go")}, {"standing", "exited"}, {"cause", "done"}};
+          else if (o.at("verb") == "clear")
+            tasks.erase(k);
+        }
+      } else {
+        const json a = r ? body_of(r->body) : json();
+        const std::string leader = a.is_object() ? a.value("steward", "") : "";
+        if (nodes_.count(leader))
+          node = nodes_.find(leader);
+        else if (++node == nodes_.end())
+          node = nodes_.begin();
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+  }
+
+  std::mutex mutex_;
+  std::atomic<bool> stop_{false};
+  std::map<std::string, int> nodes_;
+  std::vector<std::string> names_;
+  std::vector<std::thread> threads_;
+  net::Server server_;
+};
+
+Config config(const std::string& label, int state, int cloud) {
+  Config c;
+  c.core.label = label;
+  c.core.zones = {"a"};
+  c.core.teams = {{"t", 0, 2, 0, 0}};
+  c.core.report_s = 30;  // the worker here is quick; nothing is silent for this test's length
+  c.core.lease_s = 300;
+  c.bind = c.mesh = {"127.0.0.1", 0};
+  c.state = {"127.0.0.1", state};
+  c.cloud = {"127.0.0.1", cloud};
+  c.state_rps = 2000;
+  c.write_rps = 500;
+  c.cloud_rps = 50;
+  c.nodes = 2;
+  return c;
+}
+
+json job(const std::string& id, int tasks) {
+  return {{"id", id},           {"lot", "l"},      {"crew", "t"},       {"shape", "array"},
+          {"rank", "standard"}, {"shifts", tasks}, {"cpus", 1.0},       {"gpus", 0.0},
+          {"mem_gb", 1.0},      {"kit", "i"},      {"image_gb", 0.0},   {"one_zone", false},
+          {"scatter", false},   {"loaners", true}, {"expected_s", 1.0}, {"marker_s", 0.0},
+          {"stow_s", 0.0}};
+}
+
+bool until(const std::function<bool()>& yes) {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(kPatienceS);
+  while (std::chrono::steady_clock::now() < end) {
+    if (yes()) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  }
+  return false;
+}
+
+class Loopback : public testing::Test {
+ protected:
+  Loopback()
+      : a(config("n-a", state.port(), cloud.port())), b(config("n-b", state.port(), cloud.port())) {
+    EXPECT_TRUE(a.start());
+    EXPECT_TRUE(b.start());
+    cloud.use({{"n-a", a.port()}, {"n-b", b.port()}});
+  }
+  std::pair<int, json> ask(Node& n, const std::string& path, const std::string* body = nullptr) {
+    httplib::Client c("127.0.0.1", n.port());
+    c.set_read_timeout(10, 0);
+    const auto r = body ? c.Post(path, *body, "application/msgpack") : c.Get(path);
+    return r ? std::make_pair(r->status, body_of(r->body)) : std::make_pair(0, json());
+  }
+  int submit(Node& n, const json& j) {
+    const std::string body = wire::pack(j);
+    int status = 0;
+    EXPECT_TRUE(until([&] { return (status = ask(n, "/v2/runs", &body).first) != 503; }));
+    return status;
+  }
+  std::string standing(Node& n, const std::string& id) {
+    const auto [status, j] = ask(n, "/v2/runs/" + id);
+    return status == 200 ? j.at("standing").get<std::string>() : std::to_string(status);
+  }
+
+  StateService state;
+  CloudAndWorkers cloud;
+  Node a, b;
+};
+
+TEST_F(Loopback, AJobRunsAndEveryNodeSaysSo) {
+  ASSERT_TRUE(until([&] { return a.role() == Role::leading || b.role() == Role::leading; }));
+  EXPECT_EQ(submit(a, job("wk-000001", 5)), 201);
+  EXPECT_EQ(submit(b, job("wk-000001", 5)), 200);
+  EXPECT_TRUE(until([&] { return standing(b, "wk-000001") == "done"; }));
+  EXPECT_EQ(standing(a, "wk-000001"), "done");
+  EXPECT_EQ(submit(a, job("wk-000001", 5)), 200);
+  EXPECT_EQ(standing(a, "wk-000077"), "404");
+  EXPECT_GE(cloud.hired(), 1u);
+}
+
+TEST_F(Loopback, WhatCannotBeTakenIsRefused) {
+  ASSERT_TRUE(until([&] { return a.role() == Role::leading || b.role() == Role::leading; }));
+  json j = job("wk-000002", 1);
+  j["crew"] = "nobody";
+  EXPECT_EQ(submit(a, j), 422);
+  j = job("wk-000002", 1);
+  j["cpus"] = 3.0;  // over the team's limit
+  EXPECT_EQ(submit(b, j), 422);
+  j = job("wk-000002", 1);
+  j["mem_gb"] = 9.0;
+  EXPECT_EQ(submit(b, j), 422);
+  j["shifts"] = 0;
+  EXPECT_EQ(submit(a, j), 400);
+  const std::string noise(100, '\xff'), long_body(70000, 'x');
+  EXPECT_EQ(ask(a, "/v2/runs", &noise).first, 400);
+  EXPECT_EQ(ask(a, "/v2/runs", &long_body).first, 400);
+  EXPECT_EQ(ask(a, "/nowhere").first, 404);
+  EXPECT_EQ(ask(a, "/v2/runs/" + std::string(5000, '(')).first, 404);
+  EXPECT_EQ(ask(a, "/healthz").first, 200);
+}
+
+TEST_F(Loopback, ACancelledJobStaysCancelled) {
+  ASSERT_TRUE(until([&] { return a.role() == Role::leading || b.role() == Role::leading; }));
+  json j = job("wk-000003", 2000);  // far more than can be done before the abort
+  EXPECT_EQ(submit(a, j), 201);
+  const std::string none;
+  const auto [status, body] = ask(b, "/v2/runs/wk-000003/abort", &none);
+  EXPECT_EQ(status, 200);
+  EXPECT_EQ(body.at("standing"), "aborted");
+  EXPECT_EQ(standing(a, "wk-000003"), "aborted");
+  EXPECT_EQ(submit(a, j), 200);
+  EXPECT_EQ(ask(a, "/v2/runs/wk-000088/abort", &none).first, 404);
+}
+
+TEST_F(Loopback, DuringAnOutageNothingIsPromised) {
+  ASSERT_TRUE(until([&] { return a.role() == Role::leading || b.role() == Role::leading; }));
+  EXPECT_EQ(submit(a, job("wk-000004", 1)), 201);
+  state.set_outage(true);
+  EXPECT_TRUE(until([&] {
+    const std::string body = wire::pack(job("wk-000005", 1));
+    return ask(a, "/v2/runs", &body).first == 503;
+  }));
+  EXPECT_EQ(standing(b, "wk-000099"), "503");  // not even that there is no such job
+  state.set_outage(false);
+  EXPECT_TRUE(until([&] { return standing(b, "wk-000004") == "done"; }));
+}
+
+TEST(Mesh, ViewsAreExchanged) {
+  mesh::View heard;
+  net::Server server(
+      {"127.0.0.1", 0}, 4, 65536, [&](const httplib::Request& q, httplib::Response& r) {
+        heard = mesh::decode(q.body).value_or(mesh::View{});
+        r.set_content(mesh::encode({"n1", "n2", 9, true}).dump(), "application/json");
+      });
+  ASSERT_TRUE(server.start());
+  {
+    mesh::Peer peer({"n1", {"127.0.0.1", server.port()}});
+    const auto v = peer.exchange({"n0", "n0", 4, false});
+    ASSERT_TRUE(v);
+    EXPECT_EQ(v->token, 9u);
+    EXPECT_EQ(v->leader, "n2");
+  }
+  server.halt();
+  EXPECT_EQ(heard.token, 4u);
+  EXPECT_FALSE(mesh::decode("{}"));
+}
+
+}  // namespace
+}  // namespace rookdyke
--- /dev/null
+++ b/tests/run_scenario.cpp
@@ -0,0 +1,467 @@
+// The one runner of scenario files. Usage: run_scenario [--seeds N] FILE...
+// With --seeds, each file is played with N further seeds, and only the rules are looked at.
+//
+// A scenario is lines of words; '#' begins a comment. Before the first `at`:
+//
+//   seed N                        everything random follows from it (default 1)
+//   nodes N                       controllers (default 3)
+//   type NAME cpus C gpus G mem M boot S zones a,b    machine types, cheapest first
+//   team NAME [cpus N] [cpus_max N] [gpus N] [gpus_max N]
+//   set NAME VALUE                a setting: report_s lease_s gang_wait_s gang_peer_s cancel_s
+//                                 list_lag_s value_bytes txn_ops, or a tuning value
+//                                 (core/settings.h)
+//   capacity ZONE spot|ordinary N machines to be had (default 100)
+//   messages [lose P] [repeat P] [slow P]    chances for every message, for the whole run
+//   never_boots P
+//
+// Then what happens, at a time in seconds:
+//
+//   at T submit ID array|gang N [gpus G] [cpus C] [mem M] [run S] [image NAME GB] [spot]
+//        [one_zone] [scatter] [zone Z] [team T] [rank idle|standard|urgent|critical]
+//        [save EVERY NEEDS] [faulty]
+//   at T abort ID
+//   at T ask ID                   poll for a job that may never have been submitted
+//   at T crash leader|all|K [for S]
+//   at T cut leader|K from state|workers|users|all for S [hold]
+//   at T state_outage S
+//   at T cloud_outage S
+//   at T hang|sick|take MACHINES [for S] [notice S]    MACHINES: a count, or all, or busy
+//   until T
+//
+// And what must be so. No broken rule is demanded always.
+//
+//   expect done ID [by T]
+//   expect aborted ID
+//   expect starts ID at_most N
+//   expect started ID [by T]
+//   expect machines at_most N     at the end
+//   expect hires at_most N
+//   expect returns at_least N
+//   expect leader                 at the end
+
+#include <spdlog/spdlog.h>
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "sim.h"
+
+namespace rookdyke::test {
+namespace {
+
+using Words = std::vector<std::string>;
+
+struct Script {
+  std::vector<std::pair<int, Words>> lines;
+};
+
+[[noreturn]] void wrong(int line, const std::string& what) {
+  throw std::runtime_error("line " + std::to_string(line) + ": " + what);
+}
+
+double number(const Words& w, size_t i, int line) {
+  if (i >= w.size()) wrong(line, "a number is missing");
+  size_t used = 0;
+  double d = 0;
+  try {
+    d = std::stod(w[i], &used);
+  } catch (const std::exception&) {
+    used = 0;
+  }
+  if (used == 0 || used != w[i].size()) wrong(line, "not a number: " + w[i]);
+  return d;
+}
+
+const std::string& word(const Words& w, size_t i, int line) {
+  if (i >= w.size()) wrong(line, "a word is missing");
+  return w[i];
+}
+
+class Runner {
+ public:
+  explicit Runner(const Script& script) : script_(script) {}
+
+  // Returns what is not as expected. With a seed of one's own, only broken rules.
+  std::vector<std::string> run(std::optional<uint64_t> seed = std::nullopt) {
+    size_t i = 0;
+    for (; i < script_.lines.size() && script_.lines[i].second[0] != "at"; ++i)
+      if (script_.lines[i].second[0] == "expect" || script_.lines[i].second[0] == "until")
+        break;
+      else
+        set_up(script_.lines[i].first, script_.lines[i].second);
+    if (seed) seed_ = *seed;
+    if (types_.empty()) types_.push_back(default_type());
+    if (settings_.teams.empty()) settings_.teams.push_back({"team", 0, 0, 0, 0});
+    for (const TypeInfo& t : types_)
+      for (const std::string& z : t.zones)
+        if (std::find(settings_.zones.begin(), settings_.zones.end(), z) == settings_.zones.end())
+          settings_.zones.push_back(z);
+    world_ = std::make_unique<World>(settings_, types_, nodes_, seed_);
+    for (const auto& [k, n] : capacity_) world_->capacity[k] = n;
+    world_->lose = lose_;
+    world_->repeat = repeat_;
+    world_->slow = slow_;
+    world_->never_boots = never_boots_;
+    std::vector<std::pair<int, Words>> expects;
+    double until = 0;
+    for (; i < script_.lines.size(); ++i) {
+      const auto& [n, w] = script_.lines[i];
+      if (w[0] == "at")
+        schedule(n, w);
+      else if (w[0] == "until")
+        until = number(w, 1, n);
+      else if (w[0] == "expect")
+        expects.emplace_back(n, w);
+      else
+        wrong(n, "unknown: " + w[0]);
+    }
+    if (until <= 0) wrong(0, "no `until`");
+    if (expects.empty()) wrong(0, "nothing is expected");
+    world_->start();
+    world_->clock.run(until);
+    if (!seed)
+      for (const auto& [n, w] : expects) check(n, w);
+    for (const std::string& b : world_->checker.broken()) failures_.push_back("broken rule: " + b);
+    return failures_;
+  }
+
+ private:
+  static TypeInfo default_type() {
+    TypeInfo t;
+    t.name = "box";
+    t.size = {16, 4, 64};
+    t.cache_gb = 100;
+    t.fetch_gb_per_s = 1;
+    t.price = 4;
+    t.spot_price = 1;
+    t.boot_s = 10;
+    t.zones = {"a", "b"};
+    return t;
+  }
+
+  void set_up(int line, const Words& w) {
+    if (w[0] == "seed") {
+      seed_ = static_cast<uint64_t>(number(w, 1, line));
+    } else if (w[0] == "nodes") {
+      nodes_ = static_cast<size_t>(number(w, 1, line));
+    } else if (w[0] == "type") {
+      TypeInfo t = default_type();
+      t.name = word(w, 1, line);
+      for (size_t i = 2; i + 1 < w.size(); i += 2) {
+        if (w[i] == "cpus")
+          t.size.cpus = number(w, i + 1, line);
+        else if (w[i] == "gpus")
+          t.size.gpus = number(w, i + 1, line);
+        else if (w[i] == "mem")
+          t.size.mem = number(w, i + 1, line);
+        else if (w[i] == "boot")
+          t.boot_s = number(w, i + 1, line);
+        else if (w[i] == "zones") {
+          t.zones.clear();
+          std::stringstream s(w[i + 1]);
+          for (std::string z; std::getline(s, z, ',');) t.zones.push_back(z);
+        } else
+          wrong(line, "unknown: " + w[i]);
+      }
+      types_.push_back(t);
+    } else if (w[0] == "team") {
+      TeamInfo t{word(w, 1, line), 0, 0, 0, 0};
+      for (size_t i = 2; i + 1 < w.size(); i += 2) {
+        const double v = number(w, i + 1, line);
+        if (w[i] == "cpus")
+          t.cpus = v;
+        else if (w[i] == "cpus_max")
+          t.cpus_max = v;
+        else if (w[i] == "gpus")
+          t.gpus = v;
+        else if (w[i] == "gpus_max")
+          t.gpus_max = v;
+        else
+          wrong(line, "unknown: " + w[i]);
+      }
+      settings_.teams.push_back(t);
+    } else if (w[0] == "set") {
+      const std::map<std::string, double*> known = {
+          {"report_s", &settings_.report_s},
+          {"lease_s", &settings_.lease_s},
+          {"gang_wait_s", &settings_.gang_wait_s},
+          {"gang_peer_s", &settings_.gang_peer_s},
+          {"cancel_s", &settings_.cancel_s},
+          {"list_lag_s", &settings_.list_lag_s},
+          {"lull_s", &settings_.tuning.lull_s},
+          {"percentile", &settings_.tuning.percentile},
+          {"drain_deadline_s", &settings_.tuning.drain_deadline_s},
+          {"silence_s", &settings_.tuning.silence_s},
+          {"start_spare", &settings_.tuning.start_spare},
+          {"trend_s", &settings_.tuning.trend_s}};
+      const double v = number(w, 2, line);
+      if (auto k = known.find(word(w, 1, line)); k != known.end())
+        *k->second = v;
+      else if (w[1] == "value_bytes")
+        settings_.value_bytes = static_cast<size_t>(v);
+      else if (w[1] == "txn_ops")
+        settings_.txn_ops = static_cast<size_t>(v);
+      else if (w[1] == "history")
+        settings_.tuning.history = static_cast<int>(v);
+      else
+        wrong(line, "unknown setting " + w[1]);
+    } else if (w[0] == "capacity") {
+      capacity_[{word(w, 1, line), word(w, 2, line) == "spot"}] =
+          static_cast<int>(number(w, 3, line));
+    } else if (w[0] == "messages") {
+      for (size_t i = 1; i + 1 < w.size(); i += 2) {
+        const double v = number(w, i + 1, line);
+        if (w[i] == "lose")
+          lose_ = v;
+        else if (w[i] == "repeat")
+          repeat_ = v;
+        else if (w[i] == "slow")
+          slow_ = v;
+        else
+          wrong(line, "unknown: " + w[i]);
+      }
+    } else if (w[0] == "never_boots") {
+      never_boots_ = number(w, 1, line);
+    } else {
+      wrong(line, "unknown: " + w[0]);
+    }
+  }
+
+  void schedule(int line, const Words& w) {
+    const double t = number(w, 1, line);
+    const std::string what = word(w, 2, line);
+    World* world = world_.get();
+    auto option = [&](const std::string& name, double other) {
+      for (size_t i = 3; i < w.size(); ++i)
+        if (w[i] == name) return number(w, i + 1, line);
+      return other;
+    };
+    auto flag = [&](const std::string& name) {
+      return std::find(w.begin() + 3, w.end(), name) != w.end();
+    };
+    if (what == "submit") {
+      JobSpec s;
+      s.id = word(w, 3, line);
+      s.lot = "lot";
+      s.team = settings_.teams[0].name;
+      s.shape = word(w, 4, line) == "gang" ? Shape::gang : Shape::array;
+      s.tasks = static_cast<uint32_t>(number(w, 5, line));
+      s.each = {option("cpus", 1), option("gpus", 1), option("mem", 1)};
+      s.spot = flag("spot");
+      s.one_zone = flag("one_zone");
+      s.scatter = flag("scatter");
+      s.image = "img";
+      const double run_s = option("run", 10);
+      for (size_t i = 6; i < w.size(); ++i) {
+        if (w[i] == "image") {
+          s.image = word(w, i + 1, line);
+          s.image_gb = number(w, i + 2, line);
+        } else if (w[i] == "zone") {
+          s.zone = word(w, i + 1, line);
+        } else if (w[i] == "team") {
+          s.team = word(w, i + 1, line);
+        } else if (w[i] == "rank") {
+          const std::string& r = word(w, i + 1, line);
+          s.rank = r == "idle"       ? Rank::idle
+                   : r == "urgent"   ? Rank::urgent
+                   : r == "critical" ? Rank::critical
+                                     : Rank::standard;
+        } else if (w[i] == "save") {
+          s.checkpoint_s = number(w, i + 1, line);
+          s.save_s = number(w, i + 2, line);
+        }
+      }
+      s.estimate_s = run_s;
+      const bool faulty = flag("faulty");
+      world->clock.at(t, [world, s, run_s, faulty] { world->submit(s, run_s, faulty); });
+    } else if (what == "abort") {
+      const std::string id = word(w, 3, line);
+      world->clock.at(t, [world, id] { world->abort(id); });
+    } else if (what == "ask") {
+      JobSpec s;
+      s.id = word(w, 3, line);
+      world->clock.at(t, [world, s] {
+        for (auto& n : world->nodes)
+          if (n->alive)
+            n->user("poll", s, [world, s](const std::string& a) {
+              if (!a.empty()) world->checker.told(world->clock.now, s.id, a, false);
+            });
+      });
+    } else if (what == "crash") {
+      const std::string who = word(w, 3, line);
+      const double back = option("for", 3);
+      world->clock.at(t, [world, who, back] {
+        for (size_t i = 0; i < world->nodes.size(); ++i) {
+          SimNode* n = world->nodes[i].get();
+          if (!n->alive) continue;
+          if (who != "all" && (who == "leader" ? n != world->leader() : who != std::to_string(i)))
+            continue;
+          n->crash();
+          world->clock.after(back, [n] {
+            if (!n->alive) n->boot();
+          });
+          if (who == "leader") break;
+        }
+      });
+    } else if (what == "cut") {
+      const std::string who = word(w, 3, line), from = word(w, 5, line);
+      const double s = option("for", 10);
+      const bool hold = flag("hold");
+      world->clock.at(t, [world, who, from, s, hold] {
+        for (size_t i = 0; i < world->nodes.size(); ++i) {
+          SimNode* n = world->nodes[i].get();
+          if (who == "leader" ? n != world->leader() : who != std::to_string(i)) continue;
+          const std::string me = "n" + std::to_string(i);
+          if (from == "all") {
+            world->cut(me, "*", s, hold);
+          } else if (from == "workers") {
+            for (auto& [name, m] : world->workers) world->cut(me, name, s, hold);
+          } else {
+            world->cut(me, from, s, hold);
+          }
+          if (who == "leader") break;
+        }
+      });
+    } else if (what == "state_outage") {
+      const double s = number(w, 3, line);
+      world->clock.at(t, [world, s] {
+        world->store.outage = true;
+        world->clock.after(s, [world] { world->store.end_outage(); });
+      });
+    } else if (what == "cloud_outage") {
+      const double s = number(w, 3, line);
+      world->clock.at(t, [world, s] {
+        world->cloud_outage = true;
+        world->clock.after(s, [world] { world->cloud_outage = false; });
+      });
+    } else if (what == "hang" || what == "sick" || what == "take") {
+      const std::string which = word(w, 3, line);
+      const double s = option("for", 10), notice = option("notice", -1);
+      world->clock.at(t, [world, what, which, s, notice] {
+        size_t left = which == "all" || which == "busy" ? SIZE_MAX : std::stoul(which);
+        for (auto& [name, m] : world->workers) {
+          if (left == 0) break;
+          Worker* p = m.get();
+          if (p->gone || !p->up || p->hung) continue;
+          if (which == "busy" && p->tasks.empty()) continue;
+          --left;
+          if (what == "hang") {
+            p->hang(s);
+          } else if (what == "sick") {
+            p->sick = true;
+            world->clock.after(s, [p] { p->sick = false; });
+          } else if (notice > 0) {
+            p->notice(notice);
+          } else {
+            p->vanish();
+          }
+        }
+      });
+    } else {
+      wrong(line, "unknown: " + what);
+    }
+  }
+
+  void check(int line, const Words& w) {
+    const std::string what = word(w, 1, line);
+    auto miss = [&](const std::string& was) {
+      std::string text;
+      for (const std::string& x : w) text += x + " ";
+      failures_.push_back("line " + std::to_string(line) + ": " + text + "- was " + was);
+    };
+    auto by = [&] {
+      for (size_t i = 2; i < w.size(); ++i)
+        if (w[i] == "by") return number(w, i + 1, line);
+      return 1e18;
+    };
+    if (what == "machines" || what == "hires" || what == "returns") {
+      const double n = number(w, 3, line);
+      const double is = static_cast<double>(what == "machines" ? world_->machines_up()
+                                            : what == "hires"  ? world_->hires
+                                                               : world_->returns);
+      if (w[2] == "at_most" ? is > n : is < n) miss(std::to_string(is));
+      return;
+    }
+    if (what == "leader") {
+      if (!world_->leader()) miss("nobody");
+      return;
+    }
+    const std::string& id = word(w, 2, line);
+    auto it = world_->jobs.find(id);
+    if (it == world_->jobs.end()) wrong(line, "no such job");
+    const World::UserJob& j = it->second;
+    if (what == "done") {
+      if (j.done_at < 0 || j.done_at > by())
+        miss(j.told + ", done at " + std::to_string(j.done_at));
+    } else if (what == "aborted") {
+      if (j.aborted_at < 0) miss(j.told);
+    } else if (what == "started") {
+      if (j.first_start < 0 || j.first_start > by()) miss(std::to_string(j.first_start));
+    } else if (what == "starts") {
+      const double n = number(w, 4, line);
+      if (w[3] == "at_most" ? j.starts > n : j.starts < n) miss(std::to_string(j.starts));
+    } else {
+      wrong(line, "unknown: " + what);
+    }
+  }
+
+  const Script& script_;
+  uint64_t seed_ = 1;
+  size_t nodes_ = 3;
+  std::vector<TypeInfo> types_;
+  Settings settings_;
+  std::map<std::pair<std::string, bool>, int> capacity_;
+  double lose_ = 0, repeat_ = 0, slow_ = 0, never_boots_ = 0;
+  std::unique_ptr<World> world_;
+  std::vector<std::string> failures_;
+};
+
+Script read(const std::string& path) {
+  std::ifstream in(path);
+  if (!in) throw std::runtime_error("cannot read " + path);
+  Script s;
+  int n = 0;
+  for (std::string line; std::getline(in, line);) {
+    ++n;
+    line = line.substr(0, line.find('#'));
+    std::stringstream words(line);
+    Words w;
+    for (std::string x; words >> x;) w.push_back(x);
+    if (!w.empty()) s.lines.emplace_back(n, std::move(w));
+  }
+  return s;
+}
+
+}  // namespace
+}  // namespace rookdyke::test
+
+int main(int argc, char** argv) {
+  const char* level = std::getenv("LOG_LEVEL");
+  spdlog::set_level(level ? spdlog::level::from_str(level) : spdlog::level::off);
+  int failed = 0, first = 1;
+  uint64_t seeds = 0;
+  if (argc > 2 && std::string(argv[1]) == "--seeds") {
+    seeds = std::stoull(argv[2]);
+    first = 3;
+  }
+  for (int i = first; i < argc; ++i) {
+    try {
+      const auto script = rookdyke::test::read(argv[i]);
+      auto failures = rookdyke::test::Runner(script).run();
+      for (uint64_t s = 1; s <= seeds; ++s)
+        for (const std::string& f : rookdyke::test::Runner(script).run(1000 + s))
+          failures.push_back("seed " + std::to_string(1000 + s) + ": " + f);
+      std::printf("%s %s\n", failures.empty() ? "ok  " : "FAIL", argv[i]);
+      for (size_t k = 0; k < failures.size() && k < 8; ++k)
+        std::printf("     %s\n", failures[k].c_str());
+      failed += !failures.empty();
+    } catch (const std::exception& e) {
+      std::printf("FAIL %s\n     %s\n", argv[i], e.what());
+      ++failed;
+    }
+  }
+  std::printf("%d passed, %d failed\n", argc - first - failed, failed);
+  return failed || argc <= first ? 1 : 0;
+}
--- /dev/null
+++ b/tests/sim.cpp
@@ -0,0 +1,1010 @@
+#include "sim.h"
+
+#include <algorithm>
+
+namespace rookdyke::test {
+
+using ledger::Outcome;
+using nlohmann::json;
+
+namespace {
+constexpr double kLeaseTtl = 2.5;
+constexpr double kWire = 0.005;
+}  // namespace
+
+// ---------------------------------------------------------------- time
+
+void Clock::run(double until) {
+  while (!queue_.empty() && queue_.top().when <= until) {
+    auto fn = std::move(const_cast<Event&>(queue_.top()).fn);
+    now = queue_.top().when;
+    queue_.pop();
+    fn();
+  }
+  now = until;
+}
+
+// ---------------------------------------------------------------- state service
+
+ledger::Result Store::commit(const ledger::Transaction& t) {
+  ledger::Result r;
+  if (outage) {
+    r.outcome = Outcome::refused;
+    return r;
+  }
+  ++transactions;
+  for (const ledger::Condition& c : t.conditions) {
+    auto it = rows_.find(c.key);
+    if ((it == rows_.end() ? 0 : it->second.stamp) != c.stamp) r.failed.push_back(c.key);
+  }
+  if (!r.failed.empty()) {
+    r.outcome = Outcome::conflict;
+    return r;
+  }
+  for (const ledger::Change& c : t.changes)
+    if (c.lease && !leases_.count(c.lease)) {
+      r.outcome = Outcome::refused;
+      return r;
+    }
+  ++revision;
+  for (const ledger::Change& c : t.changes) {
+    if (c.erase) {
+      if (rows_.erase(c.key)) log_.push_back({c.key, true, {}, revision});
+    } else {
+      rows_[c.key] = {c.value, revision, c.lease};
+      log_.push_back({c.key, false, c.value, revision});
+    }
+  }
+  r.outcome = Outcome::applied;
+  r.revision = revision;
+  return r;
+}
+
+uint64_t Store::grant(double ttl) {
+  const uint64_t id = ++next_lease_;
+  leases_[id] = {ttl, clock_.now + ttl};
+  clock_.after(ttl + 0.01, [this, id] { expire(id); });
+  return id;
+}
+
+bool Store::renew(uint64_t id) {
+  auto it = leases_.find(id);
+  if (it == leases_.end()) return false;
+  it->second.until = clock_.now + it->second.ttl;
+  clock_.after(it->second.ttl + 0.01, [this, id] { expire(id); });
+  return true;
+}
+
+void Store::expire(uint64_t id) {
+  auto it = leases_.find(id);
+  if (it == leases_.end() || outage || clock_.now < it->second.until) return;
+  drop(id);
+}
+
+void Store::drop(uint64_t id) {
+  leases_.erase(id);
+  ++revision;
+  for (auto it = rows_.begin(); it != rows_.end();) {
+    if (it->second.lease == id) {
+      log_.push_back({it->first, true, {}, revision});
+      it = rows_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void Store::end_outage() {
+  outage = false;
+  for (auto& [id, l] : leases_) {
+    l.until = clock_.now + l.ttl;
+    clock_.after(l.ttl + 0.01, [this, id = id] { expire(id); });
+  }
+}
+
+std::vector<Store::Event> Store::since(uint64_t rev) const {
+  auto it = std::partition_point(log_.begin(), log_.end(),
+                                 [&](const Event& e) { return e.stamp <= rev; });
+  return {it, log_.end()};
+}
+
+const Store::Entry* Store::get(const std::string& key) const {
+  auto it = rows_.find(key);
+  return it == rows_.end() ? nullptr : &it->second;
+}
+
+// ---------------------------------------------------------------- worker
+
+Worker::Worker(World& w, std::string n, const TypeInfo& t, std::string z, bool s)
+    : hired_at(w.clock.now), name(std::move(n)), zone(std::move(z)), type(t), spot(s), w_(w) {}
+
+void Worker::boot() {
+  if (gone) return;
+  up = true;
+  lease_from_ = w_.clock.now;
+  node_ = w_.random() % w_.nodes.size();
+  next_in(0.01);
+  w_.clock.after(0.5, [this] { check_lease(); });
+}
+
+void Worker::check_lease() {
+  if (gone) return;
+  if (!hung && w_.clock.now - lease_from_ > w_.settings.lease_s) session_over();
+  w_.clock.after(0.5, [this] { check_lease(); });
+}
+
+void Worker::session_over() {
+  while (!tasks.empty())
+    leave(tasks.begin()->first.first, tasks.begin()->first.second, Cause::none, false);
+  ++session_;
+  lease_from_ = w_.clock.now;
+}
+
+void Worker::hang(double s) {
+  hung = true;
+  w_.clock.after(s, [this] {
+    hung = false;
+    if (w_.clock.now - lease_from_ > w_.settings.lease_s) session_over();
+    in_flight_ = false;
+    next_in(0.01);
+  });
+}
+
+void Worker::vanish() {
+  if (gone) return;
+  while (!tasks.empty())
+    leave(tasks.begin()->first.first, tasks.begin()->first.second, Cause::none, false);
+  gone = true;
+}
+
+void Worker::notice(double s) {
+  recall_at_ = w_.clock.now + s;
+  changed();
+  w_.clock.after(s, [this] { vanish(); });
+}
+
+void Worker::next_in(double s) {
+  const uint64_t mine = ++timer_;
+  w_.clock.after(s, [this, mine] {
+    if (mine == timer_) report();
+  });
+}
+
+void Worker::changed() {
+  if (in_flight_) {
+    dirty_ = true;
+    return;
+  }
+  next_in(std::max(0.01, last_sent_ + 0.5 - w_.clock.now));
+}
+
+Report Worker::make_report() {
+  Report r;
+  r.machine = name;
+  r.addr = "worker-" + name;
+  r.type = type.name;
+  r.zone = zone;
+  r.spot = spot;
+  r.session = session_;
+  r.seq = ++seq_;
+  r.token = token_;
+  if (recall_at_ >= 0) r.notice_s = std::max(0.0, recall_at_ - w_.clock.now);
+  for (const auto& [k, t] : tasks)
+    r.tasks.push_back({k.first, k.second, t.attempt, t.seen, t.cause, t.saved});
+  return r;
+}
+
+void Worker::report() {
+  if (gone || hung || in_flight_) return;
+  in_flight_ = true;
+  dirty_ = false;
+  const double sent = w_.clock.now;
+  last_sent_ = sent;
+  const uint64_t session = session_;
+  const Report r = make_report();
+  auto got = std::make_shared<SimNode::ReportAnswer>();
+  auto served = std::make_shared<bool>(false);
+  const size_t node = node_;
+  w_.call(
+      name, "n" + std::to_string(node), 4,
+      [this, r, got, served, node] {
+        auto a = w_.nodes[node]->on_report(r);
+        if (!*served) *got = a;
+        *served = true;
+      },
+      [this, got, served, sent, session](bool ok) {
+        if (gone) return;
+        in_flight_ = false;
+        if (hung) return;
+        if (!ok)
+          answered(sent, session, 0, 0, {}, "");
+        else
+          answered(sent, session, got->status, got->token, got->orders, got->leader);
+      });
+}
+
+void Worker::answered(double sent, uint64_t session, int status, uint64_t token,
+                      const std::vector<Order>& orders, const std::string& leader) {
+  if (session != session_) {
+    next_in(0.1);
+    return;
+  }
+  if (status == 200) {
+    if (token >= token_) {
+      token_ = token;
+      lease_from_ = sent;
+      execute(orders);
+    }
+    const double base = w_.settings.report_s;
+    const double gap = base * (0.75 + 0.5 * w_.chance());
+    if (dirty_)
+      next_in(std::max(0.01, last_sent_ + 0.5 - w_.clock.now));
+    else
+      next_in(std::max(0.01, sent + gap - w_.clock.now));
+    return;
+  }
+  if (status == 421 && !leader.empty() && leader != w_.nodes[node_]->label()) {
+    for (size_t i = 0; i < w_.nodes.size(); ++i)
+      if (w_.nodes[i]->label() == leader) node_ = i;
+    next_in(0.5 * w_.chance());
+    return;
+  }
+  node_ = (node_ + 1) % w_.nodes.size();
+  next_in(1);
+}
+
+void Worker::on_machine(const std::string& job, uint32_t task, bool is) {
+  if (is)
+    w_.checker.starts(w_.clock.now, job, task, {name, type.name, zone, spot});
+  else
+    w_.checker.leaves(job, task, name);
+}
+
+void Worker::execute(const std::vector<Order>& orders) {
+  for (const Order& o : orders) {
+    const auto key = std::make_pair(o.job, o.task);
+    auto it = tasks.find(key);
+    switch (o.verb) {
+      case Verb::run: {
+        if (it != tasks.end() && it->second.attempt == o.attempt) break;
+        Task t;
+        t.attempt = o.attempt;
+        auto j = w_.jobs.find(o.job);
+        if (it != tasks.end()) {
+          if (it->second.seen != Seen::exited) break;  // in_use would hide the older one here
+          t.cause = Cause::in_use;
+          t.seen = Seen::exited;
+        } else if (j == w_.jobs.end() || o.task >= j->second.spec.tasks) {
+          t.cause = Cause::no_such;
+          t.seen = Seen::exited;
+        } else {
+          Amounts used;
+          for (const auto& [k, other] : tasks)
+            if (other.seen != Seen::exited) used += w_.jobs.at(k.first).spec.each;
+          Amounts room = type.size;
+          room -= used;
+          if (!j->second.spec.each.fits(room)) {
+            t.cause = Cause::no_room;
+            t.seen = Seen::exited;
+          }
+        }
+        tasks[key] = t;
+        if (t.seen != Seen::exited) {
+          const JobSpec& spec = j->second.spec;
+          const double fetch =
+              images_.count(spec.image) ? 0.01 : spec.image_gb / type.fetch_gb_per_s;
+          const uint64_t attempt = t.attempt;
+          w_.clock.after(fetch, [this, key, attempt] {
+            auto f = tasks.find(key);
+            if (gone || f == tasks.end() || f->second.attempt != attempt ||
+                f->second.seen != Seen::pulling)
+              return;
+            begin(key.first, key.second);
+          });
+        }
+        changed();
+        break;
+      }
+      case Verb::stop: {
+        if (it == tasks.end() || it->second.attempt != o.attempt || it->second.seen == Seen::exited)
+          break;
+        const World::UserJob& j = w_.jobs.at(o.job);
+        const bool saves = it->second.seen == Seen::running && j.spec.checkpoint_s > 0 &&
+                           o.grace_s >= j.spec.save_s;
+        if (saves) {
+          it->second.seen = Seen::saving;
+          const uint64_t step = it->second.step = w_.new_step();
+          const double made = w_.clock.now - it->second.began;
+          if (j.spec.shape == Shape::gang) w_.gang_lost(o.job, o.attempt);
+          w_.clock.after(j.spec.save_s, [this, key, step, made] {
+            auto f = tasks.find(key);
+            if (gone || f == tasks.end() || f->second.step != step) return;
+            World::UserJob& job = w_.jobs.at(key.first);
+            // A gang's progress is safe for all once the first has saved.
+            if (job.spec.shape != Shape::gang)
+              job.progress[key.second] += made;
+            else if (job.saved_attempts.insert(f->second.attempt).second)
+              for (uint32_t t = 0; t < job.spec.tasks; ++t) job.progress[t] += made;
+            leave(key.first, key.second, Cause::halted, true);
+          });
+          changed();
+        } else if (it->second.seen != Seen::saving || o.grace_s <= 0) {
+          leave(o.job, o.task, Cause::halted, false);
+        }
+        break;
+      }
+      case Verb::clear:
+        if (it != tasks.end() && it->second.attempt == o.attempt && it->second.seen == Seen::exited)
+          tasks.erase(it);
+        break;
+    }
+  }
+}
+
+void Worker::begin(const std::string& job, uint32_t task) {
+  Task& t = tasks.at({job, task});
+  World::UserJob& j = w_.jobs.at(job);
+  images_.insert(j.spec.image);
+  on_machine(job, task, true);
+  ++j.starts;
+  if (j.first_start < 0) j.first_start = w_.clock.now;
+  const auto key = std::make_pair(job, task);
+  const uint64_t step = t.step = w_.new_step();
+  auto later = [this, key, step](double s, Cause why) {
+    w_.clock.after(s, [this, key, step, why] {
+      auto f = tasks.find(key);
+      if (gone || f == tasks.end() || f->second.step != step) return;
+      leave(key.first, key.second, why, false);
+    });
+  };
+  if (j.spec.shape == Shape::gang && j.spec.tasks > 1 && !j.done.count(task)) {
+    t.seen = Seen::gathering;
+    later(w_.settings.gang_wait_s, Cause::alone);
+    w_.gathered(job, t.attempt);
+  } else {
+    t.seen = Seen::running;
+    t.began = w_.clock.now;
+    const double left = j.done.count(task) ? 0.01 : std::max(0.01, j.run_s - j.progress[task]);
+    if (sick || j.faulty)
+      later(0.5, Cause::error);
+    else
+      later(left, Cause::done);
+  }
+  changed();
+}
+
+void Worker::leave(const std::string& job, uint32_t task, Cause why, bool saved) {
+  auto it = tasks.find({job, task});
+  if (it == tasks.end()) return;
+  const bool was_on = it->second.seen != Seen::pulling && it->second.seen != Seen::exited;
+  const bool was_running = it->second.seen == Seen::running;
+  const uint64_t attempt = it->second.attempt;
+  if (was_on) on_machine(job, task, false);
+  it->second.step = w_.new_step();
+  if (why == Cause::none) {
+    tasks.erase(it);
+  } else {
+    it->second.seen = Seen::exited;
+    it->second.cause = why;
+    it->second.saved = saved;
+  }
+  World::UserJob& j = w_.jobs.at(job);
+  if (why == Cause::done) {
+    j.done.insert(task);
+    w_.checker.completed(job, task);
+  } else if (was_running && j.spec.shape == Shape::gang && why != Cause::peers) {
+    w_.gang_lost(job, attempt);
+  }
+  if (!gone) changed();
+}
+
+// ---------------------------------------------------------------- node
+
+SimNode::SimNode(World& w, size_t index)
+    : w_(w), index_(index), label_("node-" + std::to_string(index)) {}
+
+void SimNode::boot() {
+  alive = true;
+  ++life_;
+  mirror_ = Mirror();
+  revision_ = 0;
+  loaded_ = campaigning_ = committing_ = cloud_busy_ = false;
+  core_.reset();
+  token_ = lease_ = 0;
+  rest_until_ = 0;
+  heard_state_ = -1e9;
+  next_list_ = next_renewal_ = 0;
+  waiting_.clear();
+  watch();
+  lead();
+  round();
+}
+
+void SimNode::crash() {
+  alive = false;
+  ++life_;
+  core_.reset();
+  waiting_.clear();
+}
+
+void SimNode::step_down(const std::string&, double rest) {
+  core_.reset();
+  token_ = 0;
+  if (rest > 0) rest_until_ = w_.clock.now + rest;
+}
+
+void SimNode::watch() {
+  const uint64_t life = life_;
+  auto events = std::make_shared<std::vector<Store::Event>>();
+  auto rev = std::make_shared<uint64_t>(0);
+  auto ok = std::make_shared<bool>(false);
+  const uint64_t from = revision_;
+  auto asked = std::make_shared<std::vector<std::function<void(bool)>>>(std::move(waiting_));
+  waiting_.clear();
+  w_.call(
+      "n" + std::to_string(index_), "state", 1.5,
+      [this, events, rev, ok, from] {
+        if (w_.store.outage || *ok) return;
+        *ok = true;
+        *events = w_.store.since(from);
+        *rev = w_.store.revision;
+      },
+      [this, life, events, rev, ok, asked](bool answered) {
+        if (life != life_) return;
+        const bool good = answered && *ok;
+        if (good) {
+          for (const Store::Event& e : *events) {
+            if (e.erased) {
+              mirror_.erase(e.key, e.stamp);
+              continue;
+            }
+            mirror_.put(e.key, e.value, e.stamp);
+            const std::string prefix = ledger::kJobPrefix;
+            if (core_ && e.key.rfind(prefix, 0) == 0) {
+              const std::string id = e.key.substr(prefix.size());
+              core_->on_job_row(*mirror_.job(id), id, w_.clock.now);
+            }
+          }
+          revision_ = std::max(revision_, *rev);
+          heard_state_ = w_.clock.now;
+          loaded_ = true;
+          if (core_ && mirror_.leader_stamp() > token_) step_down("not ours");
+        }
+        for (auto& f : *asked) f(good);
+        if (life != life_) return;
+        w_.clock.after(core_ || !waiting_.empty() ? 0.1 : 0.4, [this, life] {
+          if (life == life_) watch();
+        });
+      });
+}
+
+void SimNode::barrier(std::function<void(bool)> then) { waiting_.push_back(std::move(then)); }
+
+void SimNode::lead() {
+  const uint64_t life = life_;
+  const double now = w_.clock.now;
+  if (core_) {
+    if (now >= next_renewal_) {
+      next_renewal_ = now + kLeaseTtl / 3;
+      const uint64_t lease = lease_;
+      auto kept = std::make_shared<int>(0);  // 1 kept, 2 ended
+      w_.call(
+          "n" + std::to_string(index_), "state", 0.8,
+          [this, kept, lease] {
+            if (!w_.store.outage) *kept = w_.store.renew(lease) ? 1 : 2;
+          },
+          [this, life, kept, lease, now](bool ok) {
+            if (life != life_ || !core_ || lease != lease_ || !ok) return;
+            if (*kept == 1) renewed_ = now;
+            if (*kept == 2) step_down("lease ended");
+          });
+    }
+  } else if (!campaigning_ && loaded_ && now >= rest_until_ && mirror_.leader().empty() &&
+             now - heard_state_ < 2) {
+    campaigning_ = true;
+    auto token = std::make_shared<uint64_t>(0);
+    auto lease = std::make_shared<uint64_t>(0);
+    w_.clock.after(0.3 * w_.chance(), [this, life, token, lease, now] {
+      if (life != life_) return;
+      w_.call(
+          "n" + std::to_string(index_), "state", 0.8,
+          [this, token, lease] {
+            if (w_.store.outage || *token) return;
+            *lease = w_.store.grant(kLeaseTtl);
+            ledger::Transaction t;
+            t.conditions = {{ledger::kLeaderKey, 0}};
+            t.changes = {{ledger::kLeaderKey, false, {{"label", label_}}, *lease}};
+            const auto r = w_.store.commit(t);
+            if (r.outcome == Outcome::applied) *token = r.revision;
+          },
+          [this, life, token, lease, now](bool ok) {
+            if (life != life_) return;
+            if (!ok || !*token) {
+              campaigning_ = false;
+              return;
+            }
+            barrier([this, life, token, lease, now](bool good) {
+              if (life != life_) return;
+              campaigning_ = false;
+              if (!good || mirror_.leader_stamp() != *token) return;
+              token_ = *token;
+              lease_ = *lease;
+              renewed_ = now;
+              next_renewal_ = 0;
+              core_ = std::make_unique<Core>(w_.settings, w_.types, token_, w_.clock.now);
+              core_->load(mirror_, w_.clock.now);
+            });
+          });
+    });
+  }
+  w_.clock.after(0.1, [this, life] {
+    if (life == life_) lead();
+  });
+}
+
+void SimNode::round() {
+  const uint64_t life = life_;
+  if (core_ && w_.clock.now - renewed_ <= kLeaseTtl) {
+    if (core_->lost())
+      step_down("lost");
+    else if (core_->deaf(w_.clock.now))
+      step_down("deaf", 12);
+    else
+      core_->round(w_.clock.now);
+  }
+  commit();
+  cloud();
+  w_.clock.after(0.2, [this, life] {
+    if (life == life_) round();
+  });
+}
+
+void SimNode::commit() {
+  if (!core_ || committing_) return;
+  auto p = core_->next_transaction(w_.clock.now);
+  if (!p) return;
+  committing_ = true;
+  const uint64_t life = life_, token = token_;
+  auto result = std::make_shared<ledger::Result>();
+  auto answered = std::make_shared<bool>(false);
+  w_.call(
+      "n" + std::to_string(index_), "state", 1.5,
+      [this, p, result, answered] {
+        auto r = w_.store.commit(p->txn);
+        if (p->repeat && r.outcome == Outcome::conflict)
+          for (const ledger::Change& c : p->txn.changes) {
+            if (c.erase) continue;
+            if (const Store::Entry* e = w_.store.get(c.key);
+                e && e->value.value("w", "") == p->txn.mark) {
+              r.outcome = Outcome::applied;
+              r.revision = e->stamp;
+            }
+            break;
+          }
+        if (!*answered) *result = r;
+        *answered = true;
+      },
+      [this, p, result, life, token](bool ok) {
+        if (life != life_) return;
+        committing_ = false;
+        if (!core_ || token != token_) return;
+        if (!ok) *result = ledger::Result{};
+        core_->on_result(p->id, *result, w_.clock.now);
+        commit();
+      });
+}
+
+void SimNode::cloud() {
+  if (!core_ || cloud_busy_) return;
+  const uint64_t life = life_, token = token_;
+  const double now = w_.clock.now;
+  const std::string me = "n" + std::to_string(index_);
+  auto done = [this, life] {
+    if (life == life_) cloud_busy_ = false;
+  };
+  if (auto names = core_->next_return(now); !names.empty()) {
+    cloud_busy_ = true;
+    auto o = std::make_shared<CloudOutcome>(CloudOutcome::refused);
+    w_.call(
+        me, "cloud", 3,
+        [this, names, o] {
+          if (w_.cloud_outage) return;
+          w_.give_back(names);
+          *o = CloudOutcome::done;
+        },
+        [this, names, o, done, life, token](bool ok) {
+          done();
+          if (life == life_ && core_ && token == token_)
+            core_->on_return(names, ok ? *o : CloudOutcome::unknown, w_.clock.now);
+        });
+  } else if (auto h = core_->next_hire(now)) {
+    cloud_busy_ = true;
+    auto a = std::make_shared<World::HireAnswer>();
+    w_.call(
+        me, "cloud", 3, [this, h, a] { *a = w_.hire(*h); },
+        [this, h, a, done, life, token](bool ok) {
+          done();
+          if (life == life_ && core_ && token == token_)
+            core_->on_hire(*h, ok ? a->outcome : CloudOutcome::unknown, a->names, w_.clock.now);
+        });
+  } else if (now >= next_list_) {
+    cloud_busy_ = true;
+    next_list_ = now + 2;
+    auto l = std::make_shared<std::vector<ListedMachine>>();
+    w_.call(
+        me, "cloud", 3, [this, l] { *l = w_.list(); },
+        [this, l, done, life, token, now](bool ok) {
+          done();
+          if (ok && !w_.cloud_outage && life == life_ && core_ && token == token_)
+            core_->on_machine_list(*l, now, w_.clock.now);
+        });
+  }
+}
+
+SimNode::ReportAnswer SimNode::on_report(const Report& r) {
+  ReportAnswer a;
+  if (core_ && !core_->lost()) {
+    const ReportReply out = core_->on_report(r, w_.clock.now);
+    if (out.verdict != ReportReply::Verdict::deposed) {
+      a.status = 200;
+      a.token = token_;
+      a.orders = out.orders;
+      return a;
+    }
+    step_down("deposed");
+  }
+  a.status = 421;
+  if (w_.clock.now - heard_state_ < 1.5 && mirror_.leader() != label_) a.leader = mirror_.leader();
+  return a;
+}
+
+void SimNode::settle(ledger::Transaction t, bool repeat, int tries,
+                     std::function<void(std::optional<ledger::Result>)> then) {
+  const uint64_t life = life_;
+  auto result = std::make_shared<ledger::Result>();
+  w_.call(
+      "n" + std::to_string(index_), "state", 1.5,
+      [this, t, repeat, result] {
+        *result = w_.store.commit(t);
+        const Store::Entry* e = w_.store.get(t.changes[0].key);
+        if (repeat && result->outcome == Outcome::conflict && e &&
+            e->value.value("w", "") == t.mark) {
+          result->outcome = Outcome::applied;
+          result->revision = e->stamp;
+        }
+      },
+      [this, life, t, repeat, tries, result, then](bool ok) {
+        if (life != life_) return;
+        if (!ok || (result->outcome == Outcome::refused && repeat)) {
+          if (tries <= 1) return then(std::nullopt);
+          return settle(t, true, tries - 1, then);
+        }
+        then(*result);
+      });
+}
+
+void SimNode::user(const std::string& verb, const JobSpec& spec,
+                   std::function<void(const std::string&)> reply) {
+  const std::string id = spec.id;
+  auto state = [this, id]() -> std::string {
+    const auto a = mirror_.answer(id);
+    if (!a) return "404";
+    if (a->standing == ledger::Standing::done) return "done";
+    if (a->standing == ledger::Standing::aborted) return "aborted";
+    return a->running ? "running" : "pending";
+  };
+  const std::string cached = state();
+  if (cached == "done" || cached == "aborted") return reply(cached);
+  barrier([this, verb, spec, id, state, reply](bool ok) {
+    if (!ok) return reply("");
+    const std::string s = state();
+    if (verb == "poll" || s == "done" || s == "aborted") return reply(s);
+    ledger::Transaction t;
+    t.mark = label_ + "." + std::to_string(life_) + "." + std::to_string(++marks_);
+    ledger::JobRow row;
+    row.mark = t.mark;
+    if (verb == "submit") {
+      if (s != "404") return reply(s);
+      row.tasks = spec.tasks;
+      row.per = ledger::tasks_per_chunk(w_.settings.value_bytes);
+      row.at_s = w_.clock.now;
+      row.spec = spec;
+      t.conditions = {{ledger::job_key(id), 0}};
+    } else {
+      const MirrorJob* j = mirror_.job(id);
+      if (!j) return reply("404");
+      row.standing = ledger::Standing::aborted;
+      row.tasks = j->row.tasks;
+      row.per = j->row.per;
+      t.conditions = {{ledger::job_key(id), j->stamp}};
+    }
+    t.changes = {{ledger::job_key(id), false, ledger::encode(row), 0}};
+    settle(t, false, 3, [verb, reply](std::optional<ledger::Result> r) {
+      if (!r || r->outcome != Outcome::applied) return reply("");
+      reply(verb == "submit" ? "pending" : "aborted");
+    });
+  });
+}
+
+// ---------------------------------------------------------------- world
+
+World::World(Settings s, std::vector<TypeInfo> t, size_t n, uint64_t seed)
+    : store(clock),
+      settings(std::move(s)),
+      types(std::move(t)),
+      random(seed),
+      checker(settings.teams, settings.cancel_s) {
+  for (size_t i = 0; i < n; ++i) nodes.push_back(std::make_unique<SimNode>(*this, i));
+  for (const TypeInfo& ti : types)
+    for (const std::string& z : ti.zones) {
+      capacity[{z, false}] = 100;
+      capacity[{z, true}] = 100;
+    }
+}
+
+void World::start() {
+  for (auto& n : nodes) n->boot();
+  tick();
+}
+
+void World::tick() {
+  checker.tick(clock.now);
+  clock.after(0.5, [this] { tick(); });
+}
+
+void World::cut(const std::string& a, const std::string& b, double s, bool hold) {
+  cuts_[{a, b}] = cuts_[{b, a}] = {clock.now + s, hold};
+}
+
+void World::call(const std::string& from, const std::string& to, double timeout,
+                 std::function<void()> serve, std::function<void(bool)> done) {
+  auto open = [this](const std::string& a, const std::string& b) -> Cut* {
+    for (const auto& key : {std::make_pair(a, b), std::make_pair(a, std::string("*")),
+                            std::make_pair(std::string("*"), b)}) {
+      auto it = cuts_.find(key);
+      if (it != cuts_.end() && clock.now < it->second.until) return &it->second;
+    }
+    return nullptr;
+  };
+  auto settled = std::make_shared<bool>(false);
+  auto finish = [settled, done](bool ok) {
+    if (*settled) return;
+    *settled = true;
+    done(ok);
+  };
+  clock.after(timeout, [finish] { finish(false); });
+  const double lag = kWire + (chance() < slow ? 2.5 * chance() : 0);
+  // What runs at the far end runs only while there is somebody.
+  auto there = [this, to] {
+    if (to[0] == 'n' && to.size() <= 3) return nodes[std::stoul(to.substr(1))]->alive;
+    return true;
+  };
+  auto arrive = [this, from, to, serve, finish, there, open] {
+    if (!there()) return;
+    serve();
+    if (open(from, to) || chance() < lose) return;  // the answer is lost
+    clock.after(kWire, [finish] { finish(true); });
+  };
+  if (Cut* c = open(from, to)) {
+    if (c->hold)
+      clock.at(c->until + 0.01, [serve, there] {
+        if (there()) serve();
+      });
+    return;
+  }
+  if (chance() < lose) return;
+  clock.after(lag, arrive);
+  if (chance() < repeat)
+    clock.after(lag + 5 * chance(), [serve, there] {
+      if (there()) serve();
+    });
+}
+
+World::HireAnswer World::hire(const Hire& h) {
+  HireAnswer a;
+  if (cloud_outage) return a;
+  if (auto it = hired.find(h.name); it != hired.end()) {
+    a.outcome = CloudOutcome::done;
+    a.names = it->second;
+    return a;
+  }
+  int& room = capacity[{h.zone, h.spot}];
+  const int n = std::min(room, h.count);
+  if (n <= 0) {
+    a.outcome = CloudOutcome::no_capacity;
+    return a;
+  }
+  room -= n;
+  ++hires;
+  const TypeInfo* type = nullptr;
+  for (const TypeInfo& t : types)
+    if (t.name == h.type) type = &t;
+  for (int i = 0; i < n; ++i) {
+    char name[16];
+    std::snprintf(name, sizeof name, "m-%06u", static_cast<unsigned>(next_machine_++));
+    auto w = std::make_unique<Worker>(*this, name, *type, h.zone, h.spot);
+    if (chance() >= never_boots) {
+      Worker* p = w.get();
+      clock.after(type->boot_s * (0.6 + 0.9 * chance()), [p] { p->boot(); });
+    }
+    workers[name] = std::move(w);
+    a.names.push_back(name);
+  }
+  hired[h.name] = a.names;
+  a.outcome = CloudOutcome::done;
+  return a;
+}
+
+void World::give_back(const std::vector<std::string>& names) {
+  for (const std::string& n : names) {
+    auto it = workers.find(n);
+    if (it == workers.end() || it->second->gone) continue;
+    ++returns;
+    it->second->vanish();
+    ++capacity[{it->second->zone, it->second->spot}];
+  }
+}
+
+std::vector<ListedMachine> World::list() const {
+  std::vector<ListedMachine> out;
+  for (const auto& [n, w] : workers) {
+    if (w->gone || clock.now - w->hired_at < settings.list_lag_s) continue;
+    out.push_back({n, "worker-" + n, w->type.name, w->zone, w->spot,
+                   w->up ? ListedMachine::State::running : ListedMachine::State::booting,
+                   clock.now - w->hired_at});
+  }
+  return out;
+}
+
+size_t World::machines_up() const {
+  return static_cast<size_t>(
+      std::count_if(workers.begin(), workers.end(), [](const auto& w) { return !w.second->gone; }));
+}
+
+SimNode* World::leader() {
+  SimNode* best = nullptr;
+  for (auto& n : nodes)
+    if (n->alive && n->leading() && (!best || n->token() > best->token())) best = n.get();
+  return best;
+}
+
+SimNode* World::any_node(size_t& index) {
+  for (int i = 0; i < 8; ++i) {
+    index = random() % nodes.size();
+    if (nodes[index]->alive) return nodes[index].get();
+  }
+  return nullptr;
+}
+
+void World::submit(const JobSpec& spec, double run_s, bool faulty) {
+  UserJob& j = jobs[spec.id];
+  j.spec = spec;
+  j.run_s = run_s;
+  j.faulty = faulty;
+  checker.submitted(spec);
+  try_submit(spec.id, clock.now);
+}
+
+void World::try_submit(const std::string& id, double started) {
+  size_t i = 0;
+  SimNode* n = any_node(i);
+  auto again = [this, id, started] {
+    if (clock.now - started < 60) clock.after(1, [this, id, started] { try_submit(id, started); });
+  };
+  if (!n) return again();
+  auto answer = std::make_shared<std::string>();
+  auto settled = std::make_shared<bool>(false);
+  // Node-side work is asynchronous, so the answer is awaited here rather than by call().
+  auto got = [this, id, settled, again](const std::string& a) {
+    if (*settled) return;
+    *settled = true;
+    if (a.empty()) return again();
+    checker.told(clock.now, id, a, false);
+    last_answer = clock.now;
+    jobs[id].told = a;
+    clock.after(5, [this, id] { poll(id); });
+  };
+  clock.after(5, [got] { got(""); });
+  call(
+      "users", "n" + std::to_string(i), 5,
+      [this, n, id, got] { n->user("submit", jobs[id].spec, got); }, [](bool) {});
+}
+
+void World::poll(const std::string& id) {
+  size_t i = 0;
+  SimNode* n = any_node(i);
+  auto settled = std::make_shared<bool>(false);
+  auto got = [this, id, settled](const std::string& a) {
+    if (*settled) return;
+    *settled = true;
+    UserJob& j = jobs[id];
+    if (a.empty()) {
+      checker.poll_failed(clock.now, id, clock.now - last_answer < 10);
+    } else {
+      checker.told(clock.now, id, a, j.abort_asked);
+      last_answer = clock.now;
+      j.told = a;
+      if (a == "done" && j.done_at < 0) j.done_at = clock.now;
+      if (a == "aborted" && j.aborted_at < 0) j.aborted_at = clock.now;
+    }
+    // Users may ask at any later time: they go on, more seldom, after the end.
+    clock.after(a == "done" || a == "aborted" ? 20 : 5, [this, id] { poll(id); });
+  };
+  clock.after(2, [got] { got(""); });
+  if (n)
+    call(
+        "users", "n" + std::to_string(i), 2,
+        [this, n, id, got] { n->user("poll", jobs[id].spec, got); }, [](bool) {});
+}
+
+void World::abort(const std::string& id) {
+  jobs[id].abort_asked = true;
+  try_abort(id);
+}
+
+void World::try_abort(const std::string& id) {
+  size_t i = 0;
+  SimNode* n = any_node(i);
+  auto settled = std::make_shared<bool>(false);
+  auto got = [this, id, settled](const std::string& a) {
+    if (*settled) return;
+    *settled = true;
+    if (a != "aborted" && a != "done") {
+      clock.after(1, [this, id] { try_abort(id); });
+      return;
+    }
+    checker.told(clock.now, id, a, true);
+    UserJob& j = jobs[id];
+    j.told = a;
+    if (a == "aborted" && j.aborted_at < 0) j.aborted_at = clock.now;
+    if (a == "done" && j.done_at < 0) j.done_at = clock.now;
+  };
+  clock.after(5, [got] { got(""); });
+  if (n)
+    call(
+        "users", "n" + std::to_string(i), 5,
+        [this, n, id, got] { n->user("abort", jobs[id].spec, got); }, [](bool) {});
+}
+
+void World::gathered(const std::string& id, uint64_t attempt) {
+  UserJob& j = jobs.at(id);
+  std::vector<std::pair<Worker*, uint32_t>> members;
+  for (auto& [n, w] : workers)
+    for (auto& [k, t] : w->tasks)
+      if (k.first == id && t.attempt == attempt && t.seen == Seen::gathering)
+        members.emplace_back(w.get(), k.second);
+  if (members.size() < j.spec.tasks) return;
+  for (auto& [w, task] : members) {
+    Worker::Task& t = w->tasks.at({id, task});
+    t.seen = Seen::running;
+    t.began = clock.now;
+    const uint64_t step = t.step = new_step();
+    const auto key = std::make_pair(id, task);
+    Worker* wp = w;
+    const double left = std::max(0.01, j.run_s - j.progress[task]);
+    const Cause end = wp->sick || j.faulty ? Cause::error : Cause::done;
+    clock.after(end == Cause::error ? 0.5 : left, [wp, key, step, end] {
+      auto f = wp->tasks.find(key);
+      if (wp->gone || f == wp->tasks.end() || f->second.step != step) return;
+      wp->leave(key.first, key.second, end, false);
+    });
+    wp->changed();
+  }
+}
+
+void World::gang_lost(const std::string& id, uint64_t attempt) {
+  // Progress stops at once; the others notice a little later.
+  for (auto& [n, w] : workers)
+    for (auto& [k, t] : w->tasks)
+      if (k.first == id && t.attempt == attempt && t.seen == Seen::running) t.step = new_step();
+  clock.after(settings.gang_peer_s * 0.9, [this, id, attempt] {
+    for (auto& [n, w] : workers)
+      for (auto& [k, t] : w->tasks)
+        if (k.first == id && t.attempt == attempt && t.seen == Seen::running) {
+          w->leave(k.first, k.second, Cause::peers, false);
+          break;
+        }
+  });
+}
+
+}  // namespace rookdyke::test
--- /dev/null
+++ b/tests/sim.h
@@ -0,0 +1,266 @@
+#pragma once
+// Stand-ins for everything outside the core, in simulated time and in one process: the state
+// service, the cloud, workers, users, and nodes that run the real core, mirror and ledger with
+// the same rules of leadership as the daemon's threads. Messages can be lost, delayed, repeated
+// and held back by cuts. Everything is decided by the seed: the same file gives the same run.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "checker.h"
+#include "core/core.h"
+
+namespace rookdyke::test {
+
+// ---- time
+class Clock {
+ public:
+  double now = 0;
+  void at(double when, std::function<void()> fn) {
+    queue_.push({std::max(when, now), next_++, std::move(fn)});
+  }
+  void after(double s, std::function<void()> fn) { at(now + s, std::move(fn)); }
+  void run(double until);
+
+ private:
+  struct Event {
+    double when;
+    uint64_t order;
+    std::function<void()> fn;
+    bool operator<(const Event& o) const {
+      return when != o.when ? when > o.when : order > o.order;
+    }
+  };
+  std::priority_queue<Event> queue_;
+  uint64_t next_ = 0;
+};
+
+// ---- the state service
+class Store {
+ public:
+  struct Entry {
+    nlohmann::json value;
+    uint64_t stamp = 0, lease = 0;
+  };
+  struct Event {
+    std::string key;
+    bool erased = false;
+    nlohmann::json value;
+    uint64_t stamp = 0;
+  };
+  explicit Store(Clock& clock) : clock_(clock) {}
+  bool outage = false;
+  uint64_t revision = 0;
+  uint64_t transactions = 0;
+
+  ledger::Result commit(const ledger::Transaction& t);
+  uint64_t grant(double ttl);
+  bool renew(uint64_t lease);
+  void drop(uint64_t lease);
+  void end_outage();
+  std::vector<Event> since(uint64_t revision) const;
+  const Entry* get(const std::string& key) const;
+
+ private:
+  void expire(uint64_t lease);
+  struct Lease {
+    double ttl, until;
+  };
+  Clock& clock_;
+  std::map<std::string, Entry> rows_;
+  std::map<uint64_t, Lease> leases_;
+  std::vector<Event> log_;
+  uint64_t next_lease_ = 0;
+};
+
+class World;
+
+// ---- a machine with its worker
+class Worker {
+ public:
+  Worker(World& w, std::string name, const TypeInfo& type, std::string zone, bool spot);
+  void boot();
+  void hang(double s);
+  void vanish();  // the machine and all on it are gone
+  void notice(double s);
+  void session_over();
+  bool gone = false, hung = false, sick = false, up = false;
+  double hired_at;
+  std::string name, zone;
+  const TypeInfo type;
+  const bool spot;
+
+  struct Task {
+    uint64_t attempt = 0;
+    Seen seen = Seen::pulling;
+    Cause cause = Cause::none;
+    bool saved = false;
+    uint64_t step = 0;  // outdates scheduled steps
+    double began = 0;
+  };
+  std::map<std::pair<std::string, uint32_t>, Task> tasks;
+
+  Report make_report();
+  void execute(const std::vector<Order>& orders);
+  void begin(const std::string& job, uint32_t task);
+  void leave(const std::string& job, uint32_t task, Cause why, bool saved);
+  void changed();
+
+ private:
+  void report();
+  void answered(double sent, uint64_t session, int status, uint64_t token,
+                const std::vector<Order>& orders, const std::string& leader);
+  void next_in(double s);
+  void check_lease();
+  void on_machine(const std::string& job, uint32_t task, bool is);
+
+  World& w_;
+  uint64_t session_ = 1, seq_ = 0, token_ = 0;
+  double lease_from_ = 0;
+  double recall_at_ = -1;
+  size_t node_ = 0;
+  uint64_t timer_ = 0;
+  bool in_flight_ = false, dirty_ = false;
+  double last_sent_ = -1;
+  std::set<std::string> images_;
+  friend class World;
+};
+
+// ---- a controller
+class SimNode {
+ public:
+  SimNode(World& w, size_t index);
+  void boot();
+  void crash();
+  bool alive = false;
+  bool leading() const { return core_ != nullptr; }
+  Core* core() { return core_.get(); }
+  uint64_t token() const { return token_; }
+  const std::string& label() const { return label_; }
+  void step_down(const std::string& why, double rest = 0);
+
+  struct ReportAnswer {
+    int status = 503;
+    uint64_t token = 0;
+    std::vector<Order> orders;
+    std::string leader;
+  };
+  ReportAnswer on_report(const Report& r);
+  // Answers a poll, submission or abort later, by `reply("pending"...)`; empty: 503.
+  void user(const std::string& verb, const JobSpec& spec,
+            std::function<void(const std::string&)> reply);
+
+ private:
+  void watch();
+  void lead();
+  void round();
+  void commit();
+  void cloud();
+  void barrier(std::function<void(bool)> then);
+  void settle(ledger::Transaction t, bool repeat, int tries,
+              std::function<void(std::optional<ledger::Result>)> then);
+
+  World& w_;
+  size_t index_;
+  std::string label_;
+  uint64_t life_ = 0;  // outdates what belongs to an earlier process
+  Mirror mirror_;
+  uint64_t revision_ = 0;
+  bool loaded_ = false, campaigning_ = false;
+  std::unique_ptr<Core> core_;
+  uint64_t token_ = 0, lease_ = 0;
+  double renewed_ = 0, rest_until_ = 0, heard_state_ = -1e9;
+  std::vector<std::function<void(bool)>> waiting_;
+  bool committing_ = false, cloud_busy_ = false;
+  double next_list_ = 0, next_renewal_ = 0;
+  uint64_t marks_ = 0;
+};
+
+// ---- everything
+struct Cut {
+  double until = 0;
+  bool hold = false;
+};
+
+class World {
+ public:
+  World(Settings settings, std::vector<TypeInfo> types, size_t nodes, uint64_t seed);
+  void start();
+
+  Clock clock;
+  Store store;
+  Settings settings;
+  std::vector<TypeInfo> types;
+  std::mt19937_64 random;
+  Checker checker;
+  std::vector<std::unique_ptr<SimNode>> nodes;
+  std::map<std::string, std::unique_ptr<Worker>> workers;
+  double lose = 0, repeat = 0, slow = 0;  // chances per message
+
+  // A request over the network from one place to another; places are "n0".. for nodes, "state",
+  // "cloud", "users", and machine names. `serve` runs there (perhaps late, perhaps twice);
+  // `done(true)` follows if its answer came back, else `done(false)` after `timeout`.
+  void call(const std::string& from, const std::string& to, double timeout,
+            std::function<void()> serve, std::function<void(bool)> done);
+  void cut(const std::string& a, const std::string& b, double s, bool hold);
+
+  // Cloud.
+  struct HireAnswer {
+    CloudOutcome outcome = CloudOutcome::refused;
+    std::vector<std::string> names;
+  };
+  HireAnswer hire(const Hire& h);
+  void give_back(const std::vector<std::string>& names);
+  std::vector<ListedMachine> list() const;
+  bool cloud_outage = false;
+  std::map<std::pair<std::string, bool>, int> capacity;   // (zone, spot)
+  std::map<std::string, std::vector<std::string>> hired;  // by request name
+  size_t hires = 0, returns = 0, charged = 0;
+  double never_boots = 0;
+
+  // Users.
+  struct UserJob {
+    JobSpec spec;
+    double run_s = 10;
+    bool faulty = false;
+    std::string told;  // last standing
+    double done_at = -1, aborted_at = -1, first_start = -1;
+    bool abort_asked = false;
+    std::map<uint32_t, double> progress;
+    std::set<uint32_t> done;
+    size_t starts = 0;
+    std::set<uint64_t> saved_attempts;  // gangs
+  };
+  std::map<std::string, UserJob> jobs;
+  void submit(const JobSpec& spec, double run_s, bool faulty);
+  void abort(const std::string& id);
+  double last_answer = 0;
+
+  // Gangs.
+  void gathered(const std::string& job, uint64_t attempt);
+  void gang_lost(const std::string& job, uint64_t attempt);
+
+  SimNode* leader();
+  size_t machines_up() const;
+  // Never the same twice: a step scheduled for a forgotten attempt must not fire for the next one.
+  uint64_t new_step() { return ++steps_; }
+  double chance() { return std::uniform_real_distribution<double>(0, 1)(random); }
+
+ private:
+  void tick();
+  void try_submit(const std::string& id, double started);
+  void try_abort(const std::string& id);
+  void poll(const std::string& id);
+  SimNode* any_node(size_t& index);
+  std::map<std::pair<std::string, std::string>, Cut> cuts_;
+  uint64_t next_machine_ = 0, steps_ = 0;
+};
+
+}  // namespace rookdyke::test
