Direct orders: starts and stops go to the worker at once instead of with its next report

A late copy of an unanswered one must do no harm: its attempt is never cleared while token and session hold, and an attempt is not taken for gone by its absence from a report. A race on the random generator, found by the thread sanitizer, is mended.

--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -283,8 +283,10 @@
     const ReportReply out = core_->on_report(*r, now);
     if (out.verdict != ReportReply::Verdict::deposed) {
       const json answer = wire::report_answer(token_, out.orders);
+      const bool eager = core_->eager();
       lock.unlock();
       commit_cv_.notify_one();
+      if (eager) engine_cv_.notify_one();
       return reply(res, 200, answer);
     }
     step_down(Role::follower, "a worker has seen a higher token");
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -194,6 +194,7 @@
   if (it == jobs_.end()) {
     if (row.row.standing == ledger::Standing::open) {
       add_job(row, id, now);
+      eager_ = true;
       spdlog::debug("job {}: {} tasks of {}", id, row.row.tasks, row.row.spec->lot);
     }
     return;
@@ -260,6 +261,7 @@
                   a.number, grace);
   a.stop = true;
   a.grace_s = grace;
+  direct_.insert(a.machine);
 }
 
 // A gang saves only when all its tasks are told to within gang_peer_s, so the orders for all go out
@@ -527,9 +529,13 @@
           if (auto a = job.attempts.find(t);
               a != job.attempts.end() && a->second.state == AttemptState::proposed) {
             set_state(job, a->second, AttemptState::placed);
+            direct_.insert(a->second.machine);
             if (machines_[a->second.machine]->state == MachineState::gone)
               end_attempt(job, t, Cause::none, now, "its machine went while it was committed");
           }
+        // The last of a gang to be committed makes all of it ready to be ordered.
+        if (job.gang() && !f.started.empty())
+          for (auto& [t, a] : job.attempts) direct_.insert(a.machine);
         if (job.state != JobState::aborted) {
           for (uint32_t t : f.ended) release(job, t);
         }
@@ -577,6 +583,7 @@
 
 void Core::round(double now) {
   if (lost_) return;
+  eager_ = false;
   watch_machines(now);
   if (now >= next_sample_) {
     sample_demand(now);
@@ -594,7 +601,7 @@
     s.live += job->attempts.size();
   }
   for (const auto& m : machines_) {
-    if (!m) continue;
+    if (m->state == MachineState::gone) continue;
     if (m->state == MachineState::ready) ++s.ready;
     if (m->state == MachineState::booting) ++s.booting;
     if (m->state == MachineState::draining) ++s.draining;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -40,6 +41,7 @@
   double running_since = 0;
   // The report in whose answer `run` was last ordered; (0,0): never by this leader.
   uint64_t ordered_session = 0, ordered_seq = 0;
+  bool direct = false;  // a `run` sent straight to its worker may still be executed
 };
 
 struct Job {
@@ -86,9 +88,14 @@
   bool was_up = false;  // the ledger has attempts on it, or it reported
   bool listed = false;  // seen in the cloud's list, or unlisted since `unlisted_at`
   double unlisted_at = -1;
-  bool cordoned = false;   // never used again
-  bool strays = false;     // holds tasks the ledger does not know; nothing new until gone
-  bool returning = false;  // a return call is under way
+  bool cordoned = false;  // never used again
+  bool strays = false;    // holds tasks the ledger does not know; nothing new until gone
+  // Attempts for which a direct order stays unanswered: a late copy may be executed as long as
+  // token and session hold, and would start a cleared attempt anew, so these are never cleared.
+  std::set<std::tuple<std::string, uint32_t, uint64_t>> unanswered;
+  bool direct_in_flight = false;
+  double direct_after = 0;  // after a direct order failed, reports carry the orders for a while
+  bool returning = false;   // a return call is under way
   double return_after = 0;
   Amounts used;                                       // by attempts that are not ended
   std::vector<std::pair<Index, uint32_t>> tasks;      // (job, task) of attempts that are not ended
@@ -105,6 +112,14 @@
   std::vector<Order> orders;
 };
 
+// Orders sent straight to a worker, without waiting for its next report.
+struct Direct {
+  Index machine = kNone;
+  std::string addr;
+  uint64_t session = 0;
+  std::vector<Order> orders;
+};
+
 struct PendingTransaction {
   uint64_t id = 0;
   ledger::Transaction txn;
@@ -131,6 +146,13 @@
 
   ReportReply on_report(const Report& report, double now);
 
+  // Direct orders: starts that are durable, and stops, for one machine at a time.
+  std::optional<Direct> next_direct(double now);
+  // answered: the worker executed (or refused) them and its report came back.
+  void on_direct(const Direct& d, bool answered, const std::optional<Report>& report, double now);
+  // Something happened that a round should look at soon.
+  bool eager() const { return eager_; }
+
   // One round of decisions.
   void round(double now);
 
@@ -190,7 +212,10 @@
   void learn(Machine& m, const Report& r, double now);
   void take_task(Machine& m, Job& job, Attempt& a, const TaskReport& t, double now);
   void judge_error(Machine& m, Job& job, double now);
+  void take_list(Machine& m, const Report& r, std::vector<Order>* stops, std::vector<Order>* clears,
+                 std::set<std::pair<Index, uint32_t>>& listed, double now);
   void orders_for(Machine& m, const Report& r, ReportReply& reply, double now);
+  bool may_order(const Job& job, const Attempt& a) const;
   void recall(Machine& m, double notice_s, double now);
   void touch_image(Machine& m, const Job& job, double now);
 
@@ -234,6 +259,8 @@
   uint64_t token_;
   double started_;
   bool lost_ = false;
+  bool eager_ = false;
+  std::set<Index> direct_;  // machines with orders worth sending at once
 
   Names job_names_, machine_names_, zone_names_, team_names_, image_names_, lot_names_, type_names_;
   std::unordered_map<Index, std::unique_ptr<Job>> jobs_;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -94,6 +94,10 @@
   if (m.spot && !job.spec.spot) return false;
   if (now < m.suspect_until) return false;
   if (m.reserved_for != kNone && m.reserved_for != job.id && now < m.reserved_until) return false;
+  if (!m.unanswered.empty() &&
+      std::any_of(m.unanswered.begin(), m.unanswered.end(),
+                  [&](const auto& u) { return std::get<0>(u) == job.spec.id; }))
+    return false;  // it still lists an older attempt, which must not be cleared
   if (job.erred_on.count(m.index) && job.erred_on.size() < 3) return false;
   // A machine that missed a report may be gone already.
   return now - m.last_report <= 1.7 * settings_.report_s;
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -49,6 +49,7 @@
   }
   m.was_up = true;
   m.last_report = now;
+  if (m.session != r.session) m.unanswered.clear();  // a direct order names its session
   m.session = r.session;
   m.seq = r.seq;
   if (m.state == MachineState::booting) set_state(m, MachineState::ready, "its worker reports");
@@ -156,18 +157,19 @@
     if (auto a = job.attempts.find(t); a != job.attempts.end() && a->second.session < r.session)
       end_attempt(job, t, Cause::none, now, "the worker's session rose");
   }
+  const size_t busy = m.tasks.size();
+  const bool known = m.heard;
   learn(m, r, now);
   if (r.notice_s >= 0) recall(m, r.notice_s, now);
   orders_for(m, r, reply, now);
+  if (!known || m.tasks.size() < busy) eager_ = true;
   return reply;
 }
 
-void Core::orders_for(Machine& m, const Report& r, ReportReply& reply, double now) {
-  // A worker that has seen our token executes no older order any more; only then does its
-  // silence about a task mean anything (invariant 3).
-  const bool binding = r.token == token_;
-  std::set<std::pair<Index, uint32_t>> listed;
-  std::vector<Order> stops, clears, runs;
+// Takes over what the report says of each task; collects the orders its list calls for.
+void Core::take_list(Machine& m, const Report& r, std::vector<Order>* stops,
+                     std::vector<Order>* clears, std::set<std::pair<Index, uint32_t>>& listed,
+                     double now) {
   m.strays = false;
   for (const TaskReport& t : r.tasks) {
     const Index j = job_names_.find(t.job);
@@ -181,27 +183,43 @@
     }
     if (!a) {
       // Unknown: removed durably before (its exit counts, invariant 4), or of a job that is over.
-      if (t.seen == Seen::exited) {
-        clears.push_back({Verb::clear, t.job, t.task, t.attempt, 0});
-      } else {
-        stops.push_back({Verb::stop, t.job, t.task, t.attempt, 0});
+      if (t.seen != Seen::exited) {
+        if (stops) stops->push_back({Verb::stop, t.job, t.task, t.attempt, 0});
         m.strays = true;
+      } else if (clears && !m.unanswered.count({t.job, t.task, t.attempt})) {
+        clears->push_back({Verb::clear, t.job, t.task, t.attempt, 0});
       }
       continue;
     }
     const Index job_index = it->second->id;
     listed.insert({job_index, t.task});
-    Job& job = *it->second;
-    take_task(m, job, *a, t, now);  // may drop the job when it is over
+    take_task(m, *it->second, *a, t, now);  // may drop the job when it is over
     auto still = jobs_.find(job_index);
     if (still == jobs_.end()) continue;
     auto f = still->second->attempts.find(t.task);
     if (f == still->second->attempts.end() || f->second.number != t.attempt) continue;
     Attempt& now_a = f->second;
-    if (now_a.state == AttemptState::ended || !now_a.stop) continue;
+    if (now_a.state == AttemptState::ended || !now_a.stop || !stops) continue;
     if (now_a.state != AttemptState::saving || now_a.grace_s <= 0)
-      stops.push_back({Verb::stop, t.job, t.task, t.attempt, now_a.grace_s});
+      stops->push_back({Verb::stop, t.job, t.task, t.attempt, now_a.grace_s});
   }
+}
+
+// Whether its start may be ordered: durable, wanted, and for a gang all of it durable.
+bool Core::may_order(const Job& job, const Attempt& a) const {
+  if (a.state != AttemptState::placed || a.stop || job.over()) return false;
+  return !job.gang() || std::none_of(job.attempts.begin(), job.attempts.end(), [](const auto& e) {
+    return e.second.state == AttemptState::proposed;
+  });
+}
+
+void Core::orders_for(Machine& m, const Report& r, ReportReply& reply, double now) {
+  // A worker that has seen our token executes no older order any more; only then does its
+  // silence about a task mean anything (invariant 3).
+  const bool binding = r.token == token_;
+  std::set<std::pair<Index, uint32_t>> listed;
+  std::vector<Order> stops, clears, runs;
+  take_list(m, r, &stops, &clears, listed, now);
   const auto here = m.tasks;
   for (const auto& [j, t] : here) {
     if (listed.count({j, t})) continue;
@@ -214,16 +232,21 @@
       continue;
     }
     if (a.stop) {
-      // Never ordered by us, or ordered in the answer to an earlier report, which this one
-      // settles: the worker either executed it or dropped the answer.
-      if (binding) end_attempt(job, t, Cause::none, now, "not there, and no order for it is left");
+      if (a.direct) {
+        // A direct `run` may still be executed. Ordered here and stopped at once, the attempt is
+        // listed as exited, and the late copy finds it there and has no effect.
+        if (binding && !m.direct_in_flight) {
+          runs.push_back({Verb::run, job.spec.id, t, a.number, 0});
+          runs.push_back({Verb::stop, job.spec.id, t, a.number, 0});
+        }
+      } else if (binding) {
+        // Never ordered by us, or ordered in the answer to an earlier report, which this one
+        // settles: the worker either executed it or dropped the answer.
+        end_attempt(job, t, Cause::none, now, "not there, and no order for it is left");
+      }
       continue;
     }
-    if (job.over()) continue;
-    if (job.gang() && std::any_of(job.attempts.begin(), job.attempts.end(), [](const auto& e) {
-          return e.second.state == AttemptState::proposed;
-        }))
-      continue;  // all or none: the whole gang is durable first
+    if (!may_order(job, a)) continue;
     runs.push_back({Verb::run, job.spec.id, t, a.number, 0});
     a.ordered_session = r.session;
     a.ordered_seq = r.seq;
@@ -234,6 +257,73 @@
   if (reply.orders.size() > 400) reply.orders.resize(400);  // 64 KiB; the rest rides next time
 }
 
+std::optional<Direct> Core::next_direct(double now) {
+  if (lost_) return std::nullopt;
+  for (auto it = direct_.begin(); it != direct_.end();) {
+    Machine& m = *machines_[*it];
+    // Silent machines are left to their reports: an unanswered order is a burden.
+    if (m.direct_in_flight || now < m.direct_after) {
+      ++it;
+      continue;
+    }
+    it = direct_.erase(it);
+    if (!m.heard || m.addr.empty() || now - m.last_report > 1.7 * settings_.report_s) continue;
+    if (m.state != MachineState::ready && m.state != MachineState::draining) continue;
+    Direct d;
+    d.machine = m.index;
+    d.addr = m.addr;
+    d.session = m.session;
+    std::vector<Order> runs;
+    for (const auto& [j, t] : m.tasks) {
+      Job& job = *jobs_.at(j);
+      Attempt& a = job.attempts.at(t);
+      if (may_order(job, a) && a.session == m.session) {
+        runs.push_back({Verb::run, job.spec.id, t, a.number, 0});
+        a.direct = true;
+      } else if (a.stop && a.state != AttemptState::ended && a.state != AttemptState::proposed &&
+                 a.state != AttemptState::placed && a.state != AttemptState::saving) {
+        d.orders.push_back({Verb::stop, job.spec.id, t, a.number, a.grace_s});
+      }
+      if (runs.size() + d.orders.size() >= 200) break;
+    }
+    d.orders.insert(d.orders.end(), runs.begin(), runs.end());
+    if (d.orders.empty()) continue;
+    m.direct_in_flight = true;
+    return d;
+  }
+  return std::nullopt;
+}
+
+void Core::on_direct(const Direct& d, bool answered, const std::optional<Report>& r, double now) {
+  Machine& m = *machines_[d.machine];
+  m.direct_in_flight = false;
+  if (r && r->token > token_) {
+    fail("a worker has seen token " + std::to_string(r->token));
+    return;
+  }
+  if (answered) {
+    for (const Order& o : d.orders) {
+      if (o.verb != Verb::run || m.unanswered.count({o.job, o.task, o.attempt})) continue;
+      const Index j = job_names_.find(o.job);
+      auto it = j == kNone ? jobs_.end() : jobs_.find(j);
+      if (it == jobs_.end()) continue;
+      auto a = it->second->attempts.find(o.task);
+      if (a != it->second->attempts.end() && a->second.number == o.attempt)
+        a->second.direct = false;
+    }
+  } else {
+    m.direct_after = now + 5;
+    for (const Order& o : d.orders)
+      if (o.verb == Verb::run) m.unanswered.insert({o.job, o.task, o.attempt});
+  }
+  if (!r || m.state == MachineState::gone || r->session != m.session || r->seq <= m.seq) return;
+  // What it lists counts. What it does not list proves nothing: the answer to a report may be on
+  // its way to the worker with an order that this list does not know.
+  m.seq = r->seq;
+  std::set<std::pair<Index, uint32_t>> listed;
+  take_list(m, *r, nullptr, nullptr, listed, now);
+}
+
 bool Core::deaf(double now) const {
   size_t heard = 0, silent = 0;
   const double limit = std::max(2.2 * settings_.report_s, 5.0);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -17,6 +17,8 @@
 // service is meant to ride out lasts as long, and a cut one must let go some time.
 constexpr double kMaxDoubt = 60;
 constexpr size_t kMaxConnections = 700;
+constexpr int kDirectThreads = 3;
+constexpr double kEagerGap = 0.06;  // rounds follow events no closer than this
 
 }  // namespace
 
@@ -75,6 +77,7 @@
   threads_.emplace_back([this] { commit_loop(); });
   threads_.emplace_back([this] { cloud_loop(); });
   threads_.emplace_back([this] { mesh_loop(); });
+  for (int i = 0; i < kDirectThreads; ++i) threads_.emplace_back([this] { direct_loop(); });
   return true;
 }
 
@@ -84,6 +87,7 @@
     std::lock_guard lock(mutex_);
     commit_cv_.notify_all();
     cloud_cv_.notify_all();
+    direct_cv_.notify_all();
     engine_cv_.notify_all();
     lead_cv_.notify_all();
     mesh_cv_.notify_all();
@@ -214,6 +218,7 @@
         highest_token_ = mirror_.leader_stamp();
         highest_leader_ = mirror_.leader();
       }
+      if (core_ && core_->eager()) engine_cv_.notify_one();
       if (leads() && mirror_.leader_stamp() > token_)
         step_down(Role::follower, "the leader key is not ours");
       if (!leads() && mirror_.leader().empty()) lead_cv_.notify_all();
@@ -334,7 +339,12 @@
       client.drop(lease);
       held = false;
     } else if (role == Role::follower && vacant && types) {
-      std::this_thread::sleep_for(std::chrono::duration<double>(jitter(random_)));
+      double wait = 0;
+      {
+        std::lock_guard lock(mutex_);  // random_ serves the users' requests too
+        wait = jitter(random_);
+      }
+      std::this_thread::sleep_for(std::chrono::duration<double>(wait));
       bool still = false;
       {
         std::lock_guard lock(mutex_);
@@ -366,9 +376,15 @@
 
 void Node::engine_loop() {
   std::unique_lock lock(mutex_);
-  double next_summary = 0;
+  double next_summary = 0, last_round = 0;
   while (!stop_) {
     double interval = 0.5;
+    if (const double gap = last_round + kEagerGap - steady_now(); gap > 0) {
+      lock.unlock();
+      std::this_thread::sleep_for(std::chrono::duration<double>(gap));
+      lock.lock();
+      continue;
+    }
     if (role_ == Role::leading && core_) {
       const double now = steady_now();
       if (core_->lost()) {
@@ -379,12 +395,14 @@
         step_down(Role::resting, "no worker reaches us");
       } else {
         core_->round(now);
+        last_round = now;
         const double took = steady_now() - now;
         // Under load rounds come more seldom and each takes more at once.
         interval =
             std::clamp(12 * took, config_.core.tuning.round_s, config_.core.tuning.round_max_s);
         commit_cv_.notify_all();
         cloud_cv_.notify_all();
+        direct_cv_.notify_one();
         if (now >= next_summary) {
           next_summary = now + 10;
           const auto s = core_->summary(now);
@@ -418,11 +436,57 @@
     lock.lock();
     if (r.outcome == ledger::Outcome::applied) state_ok_at_ = steady_now();
     if (core_ && token_ == token) core_->on_result(p->id, r, steady_now());
+    direct_cv_.notify_one();
     if (r.outcome == ledger::Outcome::refused || r.outcome == ledger::Outcome::unknown)
       nap(lock, commit_cv_, 0.1);
   }
 }
 
+void Node::direct_loop() {
+  std::unique_lock lock(mutex_);
+  while (!stop_) {
+    std::optional<Direct> d;
+    if (role_ == Role::leading && core_) d = core_->next_direct(steady_now());
+    if (!d) {
+      nap(lock, direct_cv_, 1.0);
+      continue;
+    }
+    const uint64_t token = token_;
+    lock.unlock();
+    const size_t colon = d->addr.rfind(':');
+    bool answered = false;
+    std::optional<Report> report;
+    int port = 0;
+    if (colon != std::string::npos) port = std::atoi(d->addr.c_str() + colon + 1);
+    if (port > 0) {
+      httplib::Client http(d->addr.substr(0, colon), port);
+      http.set_tcp_nodelay(true);
+      http.set_connection_timeout(0, 500'000);
+      http.set_read_timeout(1, 0);
+      http.set_write_timeout(1, 0);
+      const auto r =
+          http.Post(wire::kDirect, wire::pack(wire::direct(token, *d)), "application/msgpack");
+      if (r) {
+        // 409 and 400: nothing was executed, and nothing will be.
+        answered = r->status == 200 || r->status == 409 || r->status == 400;
+        if (const auto body = wire::unpack(r->body)) report = wire::parse_report(*body);
+      } else {
+        // A connection that was given up does not complete afterwards: nothing was sent.
+        answered = r.error() == httplib::Error::Connection ||
+                   r.error() == httplib::Error::ConnectionTimeout;
+        spdlog::debug("direct orders to {}: {}", d->addr, httplib::to_string(r.error()));
+      }
+    } else {
+      answered = true;  // no address to send to
+    }
+    lock.lock();
+    if (core_ && token_ == token) {
+      core_->on_direct(*d, answered, report, steady_now());
+      if (core_->eager()) engine_cv_.notify_one();
+    }
+  }
+}
+
 void Node::cloud_loop() {
   cloud::Client client(config_.cloud, cloud_budget_);
   state::Client state(config_.state, state_budgets_);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -5,6 +5,7 @@
 //   leader    the leader key: campaigns, renews, steps down
 //   engine    rounds of the core while leading
 //   committer transactions of the core
+//   direct    orders that do not wait for a worker's next report
 //   cloud     hires, returns, lists, machine types
 //   mesh      exchanges views with siblings
 //   api       a thread per connection of users, workers, health checks
@@ -71,6 +72,7 @@
   void engine_loop();
   void commit_loop();
   void cloud_loop();
+  void direct_loop();
   void mesh_loop();
   void hear(const mesh::View& v);
   mesh::View view() const;
@@ -79,7 +81,7 @@
 
   Config config_;
   mutable std::mutex mutex_;
-  std::condition_variable commit_cv_, cloud_cv_, engine_cv_, lead_cv_, mesh_cv_;
+  std::condition_variable commit_cv_, cloud_cv_, direct_cv_, engine_cv_, lead_cv_, mesh_cv_;
   std::atomic<bool> stop_{false};
 
   Mirror mirror_;
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -300,6 +300,12 @@
   return {{"warrant", token}, {"orders", std::move(list)}};
 }
 
+json direct(uint64_t token, const Direct& d) {
+  json out = report_answer(token, d.orders);
+  out["tenure"] = d.session;
+  return out;
+}
+
 json redirect(const std::string& leader) {
   if (leader.empty()) return json::object();
   return {{"steward", leader}};
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -35,6 +35,8 @@
 
 std::optional<Report> parse_report(const json& body);
 json report_answer(uint64_t token, const std::vector<Order>& orders);
+inline constexpr const char* kDirect = "/do";
+json direct(uint64_t token, const Direct& d);
 json redirect(const std::string& leader_label);  // empty: no leader known
 
 // Cloud.
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -146,6 +146,8 @@
     hung = false;
     if (w_.clock.now - lease_from_ > w_.settings.lease_s) session_over();
     in_flight_ = false;
+    for (const Held& h : held_) direct(h.token, h.session, h.orders);
+    held_.clear();
     next_in(0.01);
   });
 }
@@ -341,6 +343,21 @@
   }
 }
 
+// A direct order: executed as long as token and session match, however late it comes.
+std::optional<Report> Worker::direct(uint64_t token, uint64_t session,
+                                     const std::vector<Order>& orders) {
+  if (gone || !up) return std::nullopt;
+  if (hung) {
+    held_.push_back({token, session, orders});
+    return std::nullopt;
+  }
+  if (token >= token_ && session == session_) {
+    token_ = token;
+    execute(orders);
+  }
+  return make_report();
+}
+
 void Worker::begin(const std::string& job, uint32_t task) {
   Task& t = tasks.at({job, task});
   World::UserJob& j = w_.jobs.at(job);
@@ -553,6 +570,7 @@
       core_->round(w_.clock.now);
   }
   commit();
+  direct();
   cloud();
   w_.clock.after(0.2, [this, life] {
     if (life == life_) round();
@@ -594,6 +612,26 @@
       });
 }
 
+void SimNode::direct() {
+  if (!core_) return;
+  while (auto d = core_->next_direct(w_.clock.now)) {
+    const uint64_t life = life_, token = token_;
+    const std::string name = d->addr.substr(std::string("worker-").size());
+    auto answer = std::make_shared<std::optional<Report>>();
+    w_.call(
+        "n" + std::to_string(index_), name, 1,
+        [this, d, name, token, answer] {
+          Worker& m = *w_.workers.at(name);
+          auto r = m.direct(token, d->session, d->orders);
+          if (!*answer) *answer = r;
+        },
+        [this, d, life, token, answer](bool ok) {
+          if (life == life_ && core_ && token == token_)
+            core_->on_direct(*d, ok && *answer, ok ? *answer : std::nullopt, w_.clock.now);
+        });
+  }
+}
+
 void SimNode::cloud() {
   if (!core_ || cloud_busy_) return;
   const uint64_t life = life_, token = token_;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -109,6 +109,7 @@
 
   Report make_report();
   void execute(const std::vector<Order>& orders);
+  std::optional<Report> direct(uint64_t token, uint64_t session, const std::vector<Order>& orders);
   void begin(const std::string& job, uint32_t task);
   void leave(const std::string& job, uint32_t task, Cause why, bool saved);
   void changed();
@@ -129,6 +130,11 @@
   uint64_t timer_ = 0;
   bool in_flight_ = false, dirty_ = false;
   double last_sent_ = -1;
+  struct Held {
+    uint64_t token, session;
+    std::vector<Order> orders;
+  };
+  std::vector<Held> held_;  // what arrived while it hung
   std::set<std::string> images_;
   friend class World;
 };
@@ -163,6 +169,7 @@
   void round();
   void commit();
   void cloud();
+  void direct();
   void barrier(std::function<void(bool)> then);
   void settle(ledger::Transaction t, bool repeat, int tries,
               std::function<void(std::optional<ledger::Result>)> then);
