--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -83,6 +83,17 @@
                             number(t, "cpus_max", w, 0, 1e9), number(t, "gpus", w, 0, 1e9),
                             number(t, "gpus_max", w, 0, 1e9)});
   }
+  // Other kinds of objectives may come; they order nothing.
+  if (p.contains("objectives")) {
+    const json& list = p.at("objectives");
+    if (!list.is_array()) bad("params.objectives must be a list");
+    for (const json& o : list) {
+      const std::string ow = "params.objectives.", kind = text(o, "kind", ow);
+      if (kind != "wait" && kind != "finished") continue;
+      c.core.objectives.push_back(
+          {kind == "wait", text(o, "class", ow), number(o, "within_s", ow, 0, 1e9)});
+    }
+  }
   const json& w = need(p, "workers", "params.");
   const std::string ww = "params.workers.";
   c.core.report_s = number(w, "report_s", ww, 0.1, 3600);
@@ -164,9 +175,11 @@
                     {"hire_every_s", {&t.hire_every_s, nullptr, 0.2, 600}},
                     {"refusal_s", {&t.refusal_s, nullptr, 1, 3600}},
                     {"boot_patience", {&t.boot_patience, nullptr, 1, 100}},
+
                     {"silence_s", {&t.silence_s, nullptr, 0, 3600}}}},
                   {"rounds",
-                   {{"round_s", {&t.round_s, nullptr, 0.02, 60}},
+                   {{"small_first", {&t.small_first, nullptr, 0, 100}},
+                    {"round_s", {&t.round_s, nullptr, 0.02, 60}},
                     {"round_max_s", {&t.round_max_s, nullptr, 0.02, 60}}}},
                   {"node",
                    {{"lease_ttl_s", {&c.lease_ttl_s, nullptr, 0.5, 60}},
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -35,7 +35,6 @@
   }
   spdlog::debug("job {}: {} -> {}", job.spec.id, to_string(job.state), to_string(to));
   job.state = to;
-  order_stale_ = true;
   return true;
 }
 
@@ -107,6 +106,8 @@
   job.spec.tasks = row.row.tasks;
   job.stamp = row.stamp;
   job.at_s = row.row.at_s;
+  job.seen_at = now;
+  if (day_offset_) job.seen_at = std::min(now, job.at_s - *day_offset_);
   job.per = std::max(1u, row.row.per);
   job.lot = lot_names_.intern(job.spec.lot);
   job.team = team_names_.intern(job.spec.team);
@@ -142,7 +143,11 @@
     }
   }
   job.done_count = job.done.count();
-  order_stale_ = true;
+  for (const Objective& o : settings_.objectives)
+    if (o.start && o.lot == job.spec.lot) {
+      job.prompt = true;
+      prompt_images_.insert(job.image);
+    }
   if (row.row.standing == ledger::Standing::open) {
     for (uint32_t t = 0; t < job.tasks(); ++t)
       if (!job.done.has(t) && !job.attempts.count(t)) job.waiting.insert(job.waiting.end(), t);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -52,6 +52,7 @@
   JobState state = JobState::open;
   uint64_t stamp = 0;
   double at_s = 0;
+  double seen_at = 0;  // on our clock: when it was accepted, as far as times of day can tell
   uint32_t per = 1;
   std::set<uint32_t> waiting;            // tasks without an attempt
   std::map<uint32_t, Attempt> attempts;  // at most one per task, ever (rule ran_twice)
@@ -63,6 +64,7 @@
     bool dirty = false, in_flight = false;
   };
   std::map<uint32_t, Chunk> chunks;
+  bool prompt = false;       // its class is promised a prompt start
   bool stale = false;        // its row changed under us; wait for the watch
   double not_before = 0;     // back-off after errors of its own
   double retry_at = 0;       // after a refused transaction
@@ -138,6 +140,8 @@
  public:
   Core(const Settings& settings, std::vector<TypeInfo> types, uint64_t token, double now);
 
+  // The time of day minus the steady clock; lets a job's age be known after a failover.
+  void set_day_offset(double s) { day_offset_ = s; }
   // Takes over: everything committed so far, as the mirror holds it behind a read barrier.
   void load(const Mirror& mirror, double now);
   // A job's row appeared or changed (users' submissions and aborts).
@@ -232,12 +236,14 @@
   void preempt_for(Job& job, double now);
   bool may_stop(const Job& job, const Job& victim) const;
   bool guaranteed(const Job& job) const;
-  void sort_jobs();
+  double urgency(const Job& job, double now) const;
+  void sort_jobs(double now);
 
   // -- fleet.cpp
   struct TypeState {
     Forecast forecast;
     double target = 0;
+
     Amounts demand, ordinary;  // ordinary: of jobs that may not use spot machines
     double above_since = -1;
     std::map<std::pair<Index, bool>, double> refused_until;  // (zone, spot)
@@ -260,6 +266,7 @@
   double started_;
   bool lost_ = false;
   bool eager_ = false;
+  std::optional<double> day_offset_;
   std::set<Index> direct_;  // machines with orders worth sending at once
 
   Names job_names_, machine_names_, zone_names_, team_names_, image_names_, lot_names_, type_names_;
@@ -267,8 +274,9 @@
   // By machine index. Machines that are gone stay as tombstones: late reports and lagging lists
   // still name them, and must not bring them back.
   std::vector<std::unique_ptr<Machine>> machines_;
-  std::vector<Index> order_;  // open jobs, most urgent first
-  bool order_stale_ = true;
+  std::set<Index> prompt_images_;  // of classes that are promised a prompt start
+  std::vector<Index> order_;       // open jobs, most urgent first
+
   std::vector<Amounts> team_used_;  // by team index
 
   uint64_t next_txn_ = 0, next_hire_ = 0;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -21,6 +21,9 @@
 constexpr double kTakeoverGrace = 8;
 // The design's rented list is written at most this often.
 constexpr double kFleetWriteEvery = 2;
+// After the lull one machine is drained in this time, as long as the target stays below. With one a
+// sample (5 s), thirty machines stood idle for two minutes after the last burst.
+constexpr double kDrainEvery = 1;
 constexpr size_t kFleetPerRow = 80;
 
 double ratio(const Amounts& need, const Amounts& size, double safe) {
@@ -180,6 +183,7 @@
   if (zone == kNone && (spot || (spot_demand && total < s.target))) {
     spot = !spot;
     count = gap;
+
     zone = pick_zone(spot);
   }
   if (zone == kNone) return;
@@ -222,7 +226,7 @@
       }
     }
     if (emptiest) drain(*emptiest, now, "lull");
-    s.above_since += settings_.tuning.sample_s;
+    s.above_since += kDrainEvery;
   }
 }
 
--- a/src/core/forecast.cpp
+++ b/src/core/forecast.cpp
@@ -44,7 +44,10 @@
   if (tt <= 0) return last;
   Amounts out = last;
   out += ty.times((now + ahead_ - recent_.back().at) / tt);
-  return {std::max(0.0, out.cpus), std::max(0.0, out.gpus), std::max(0.0, out.mem)};
+  // Up eagerly, down lazily, as the post has it: a falling trend is not carried on. Carried on, it
+  // had machines drained that the work still running needed minutes later.
+  return {std::max(last.cpus, out.cpus), std::max(last.gpus, out.gpus),
+          std::max(last.mem, out.mem)};
 }
 
 void Forecast::sample(double now, const Amounts& demand) {
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -21,7 +21,15 @@
 constexpr double kPackPreference = 3;
 // How long room made by stopping others is kept for the job it was made for.
 constexpr double kReserve = 12;
+// More than stow_s, so that a save begun in time is not cut short by rounding.
 constexpr double kGraceMargin = 1;
+// In seconds of fetch: how much rather other work leaves a machine alone that holds the image of a
+// class that is promised a prompt start.
+constexpr double kLeaveWarm = 3;
+// In seconds of age: a promise of a prompt start goes before anything else of its rank.
+constexpr double kPromptFirst = 1e6;
+// In seconds of age: how far the largest job stands back for small ones.
+constexpr double kMostStandingBack = 150;
 
 }  // namespace
 
@@ -37,13 +45,33 @@
   return all.cpus <= team->cpus && all.gpus <= team->gpus;
 }
 
-void Core::sort_jobs() {
-  if (!order_stale_) return;
-  order_stale_ = false;
+// The order among jobs of equal rank, smallest first. A class that is promised a prompt start goes
+// by when that promise runs out. All others, and those that missed it, go by age, yet a job with
+// much work left stands back for small ones: of a queue that cannot all be in time, most are then.
+double Core::urgency(const Job& job, double now) const {
+  const double age = now - job.seen_at;
+  double start = -1;
+  for (const Objective& o : settings_.objectives)
+    if (o.lot == job.spec.lot && o.start && o.within_s > age && (start < 0 || o.within_s < start))
+      start = o.within_s;
+  if (start >= 0) return start - age - kPromptFirst;
+  double share = 0;
+  for (const TypeInfo& t : types_) {
+    double r = 0;
+    if (t.size.cpus > 0) r = std::max(r, job.spec.each.cpus / t.size.cpus);
+    if (t.size.gpus > 0) r = std::max(r, job.spec.each.gpus / t.size.gpus);
+    if (t.size.mem > 0) r = std::max(r, job.spec.each.mem / t.size.mem);
+    if (share == 0 || r < share) share = r;
+  }
+  const double left = (job.tasks() - job.done_count) * share * job.spec.estimate_s;
+  return std::min(left * settings_.tuning.small_first, kMostStandingBack) - age;
+}
+
+void Core::sort_jobs(double now) {
   struct Entry {
     bool guaranteed;
     Rank rank;
-    double at;
+    double urgency;
     Index job;
   };
   std::vector<Entry> v;
@@ -52,11 +80,11 @@
                   [](const TeamInfo& t) { return t.cpus > 0 || t.gpus > 0; });
   for (const auto& [i, job] : jobs_)
     if (!job->over())
-      v.push_back({any_guarantee && guaranteed(*job), job->spec.rank, job->at_s, i});
+      v.push_back({any_guarantee && guaranteed(*job), job->spec.rank, urgency(*job, now), i});
   std::sort(v.begin(), v.end(), [](const Entry& a, const Entry& b) {
     if (a.guaranteed != b.guaranteed) return a.guaranteed;
     if (a.rank != b.rank) return a.rank > b.rank;
-    return std::tie(a.at, a.job) < std::tie(b.at, b.job);
+    return std::tie(a.urgency, a.job) < std::tie(b.urgency, b.job);
   });
   order_.clear();
   for (const Entry& e : v) order_.push_back(e.job);
@@ -119,6 +147,9 @@
                                     : fetch * (1.0 + static_cast<double>(under_way.size()));
   }
   if (job.spec.spot && !m.spot) s += kSpotPreference;
+  if (!job.prompt)
+    for (const auto& [i, e] : m.images)
+      if (i != job.image && prompt_images_.count(i)) s += kLeaveWarm;
   const double filled = std::max({type.size.cpus > 0 ? m.used.cpus / type.size.cpus : 0,
                                   type.size.gpus > 0 ? m.used.gpus / type.size.gpus : 0,
                                   type.size.mem > 0 ? m.used.mem / type.size.mem : 0});
@@ -299,7 +330,7 @@
 }
 
 void Core::place(double now) {
-  sort_jobs();
+  sort_jobs(now);
   int budget = kBatch + static_cast<int>(backlog() / 8);
   for (auto& m : machines_)
     if (m->reserved_for != kNone) {
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -12,27 +12,37 @@
 // explains them, docs/design.md says where each default comes from.
 struct Tuning {
   // [forecast]
-  double sample_s = 5;         // how often demand is summed
-  double trend_s = 30;         // how far back the trend looks
-  double percentile = 0.99;    // of the positive misses
-  int history = 200;           // forecasts whose misses are kept
-  double safe_fraction = 0.9;  // of a machine's size that is planned with
-  double boot_window_s = 0;    // 0: the type's own boot time
-  double start_spare = 1;      // machines, while no forecast has come due
+  double sample_s = 5;       // how often demand is summed
+  double trend_s = 30;       // how far back the trend looks
+  double percentile = 0.9;   // of the positive misses
+  int history = 12;          // forecasts whose misses are kept
+  double safe_fraction = 1;  // of a machine's size that is planned with
+  double boot_window_s = 0;  // 0: the type's own boot time
+  double start_spare = 1;    // machines, while no forecast has come due
   // [fleet]
-  double lull_s = 120;
+  double lull_s = 15;
   double drain_deadline_s = 600;
   double hire_every_s = 1;
+
   double refusal_s = 15;     // how long a refused (type, zone, kind) is left alone
   double boot_patience = 3;  // times boot_s until a machine that never came up is returned
   double silence_s = 0;      // 0: derived from the report interval and the lease
+  double small_first = 0.3;  // seconds a job stands back for each machine-second it still needs
   // [rounds]
   double round_s = 0.2;      // shortest interval between rounds
   double round_max_s = 1.5;  // widest interval under load
 };
 
+// What the operators promise for a class of jobs; here it only orders work of equal rank.
+struct Objective {
+  bool start = false;  // of starting; else of finishing
+  std::string lot;
+  double within_s = 0;
+};
+
 struct Settings {
   std::string label;
+  std::vector<Objective> objectives;
   std::vector<std::string> zones;
   std::vector<TeamInfo> teams;
   double report_s = 3, lease_s = 20, gang_wait_s = 40, gang_peer_s = 6, cancel_s = 60;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -286,6 +286,9 @@
   token_ = r.revision;
   renewed_at_ = granted;
   core_ = std::make_unique<Core>(config_.core, types, token_, now);
+  core_->set_day_offset(
+      std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() -
+      now);
   core_->load(mirror_, now);
   highest_token_ = std::max(highest_token_, token_);
   highest_leader_ = config_.core.label;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -83,6 +83,31 @@
   EXPECT_DOUBLE_EQ(config.core.tuning.lull_s, 45);
 }
 
+TEST_F(Ini, TheSampleStatesTheDefaults) {
+  Config sample = config;
+  apply_ini(sample, ROOKDYKE_SOURCE "/deploy/rookdyke.ini");
+  const Tuning &a = sample.core.tuning, b;
+  EXPECT_DOUBLE_EQ(a.sample_s, b.sample_s);
+  EXPECT_DOUBLE_EQ(a.trend_s, b.trend_s);
+  EXPECT_DOUBLE_EQ(a.percentile, b.percentile);
+  EXPECT_EQ(a.history, b.history);
+  EXPECT_DOUBLE_EQ(a.safe_fraction, b.safe_fraction);
+  EXPECT_DOUBLE_EQ(a.boot_window_s, b.boot_window_s);
+  EXPECT_DOUBLE_EQ(a.start_spare, b.start_spare);
+  EXPECT_DOUBLE_EQ(a.lull_s, b.lull_s);
+  EXPECT_DOUBLE_EQ(a.drain_deadline_s, b.drain_deadline_s);
+  EXPECT_DOUBLE_EQ(a.hire_every_s, b.hire_every_s);
+  EXPECT_DOUBLE_EQ(a.refusal_s, b.refusal_s);
+  EXPECT_DOUBLE_EQ(a.boot_patience, b.boot_patience);
+  EXPECT_DOUBLE_EQ(a.silence_s, b.silence_s);
+  EXPECT_DOUBLE_EQ(a.round_s, b.round_s);
+  EXPECT_DOUBLE_EQ(a.round_max_s, b.round_max_s);
+  EXPECT_DOUBLE_EQ(a.small_first, b.small_first);
+  EXPECT_DOUBLE_EQ(sample.lease_ttl_s, config.lease_ttl_s);
+  EXPECT_DOUBLE_EQ(sample.watch_s, config.watch_s);
+  EXPECT_DOUBLE_EQ(sample.follow_s, config.follow_s);
+}
+
 TEST_F(Ini, RefusesWhatItDoesNotKnowOrCannotUse) {
   EXPECT_NE(error_of("[forecast]\npercentil = 0.9\n").find("percentil"), std::string::npos);
   EXPECT_NE(error_of("[forcast]\npercentile = 0.9\n").find("forcast"), std::string::npos);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -21,6 +21,7 @@
 TEST(Forecast, TheLargestResourceRatioDecides) {
   Tuning t;
   t.start_spare = 0;
+  t.safe_fraction = 0.9;
   Forecast f(t, 40);
   f.sample(0, {18, 4, 9});  // of 90%: 2 by cpus, 4.4 by gpus, 1 by memory
   EXPECT_DOUBLE_EQ(f.target({10, 1, 10}), 5);
