--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -296,6 +296,7 @@
   std::string leader;
   if (now - state_ok_at_ < 1.5 && mirror_.leader() != config_.core.label) leader = mirror_.leader();
   lock.unlock();
+  spdlog::debug("report of {} sent on to {}", r->machine, leader.empty() ? "anybody" : leader);
   reply(res, 421, wire::redirect(leader));
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -257,6 +257,9 @@
   bool counts(const Machine& m, double now) const;
   Index home(const Job& job) const;
   double silence_limit() const;
+  double patience() const;
+  bool many_silent(double now) const;
+  bool holds_cancelled(const Machine& m) const;
   void drop_machine(Machine& m, double now, const char* why);
   std::optional<PendingTransaction> fleet_transaction(double now);
 
@@ -266,6 +269,8 @@
   double started_;
   bool lost_ = false;
   bool eager_ = false;
+  bool many_silent_ = false;
+  double many_silent_until_ = -1;
   std::optional<double> day_offset_;
   std::set<Index> direct_;  // machines with orders worth sending at once
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -24,6 +24,8 @@
 // After the lull one machine is drained in this time, as long as the target stays below. With one a
 // sample (5 s), thirty machines stood idle for two minutes after the last burst.
 constexpr double kDrainEvery = 1;
+// The share of machines that has to be silent, beyond two, for a cut to be the likely cause.
+constexpr double kManyShare = 0.15;
 constexpr size_t kFleetPerRow = 80;
 
 double ratio(const Amounts& need, const Amounts& size, double safe) {
@@ -49,6 +51,16 @@
   return std::max(3 * settings_.report_s, std::min(settings_.lease_s / 2, 12.0));
 }
 
+// How long machines that fell silent together are waited for: their lease, and half of it again,
+// since after it they come back empty but up.
+double Core::patience() const { return std::max(silence_limit(), 1.5 * settings_.lease_s); }
+
+// A cancelled job's tasks must be gone in cancel_s: their machine is not waited for.
+bool Core::holds_cancelled(const Machine& m) const {
+  return std::any_of(m.tasks.begin(), m.tasks.end(),
+                     [&](const auto& t) { return jobs_.at(t.first)->state == JobState::aborted; });
+}
+
 // The type whose machines a job's demand is counted for: the cheapest share of a machine.
 Index Core::home(const Job& job) const {
   Index best = kNone;
@@ -111,7 +123,7 @@
     return now - m.hired_at <= kLateBoot * boot;
   }
   if (m.state != MachineState::ready) return false;
-  return now - m.last_report <= silence_limit();
+  return now - m.last_report <= (many_silent_ ? patience() : silence_limit());
 }
 
 void Core::drain(Machine& m, double now, const char* why) {
@@ -230,8 +242,23 @@
   }
 }
 
+// Many machines that fall silent together are cut off rather than dead: they come back, with
+// images and, within their lease, with their work, sooner than others could be booted.
+bool Core::many_silent(double now) const {
+  size_t heard = 0, missing = 0;
+  for (const auto& m : machines_) {
+    if (!m->heard || m->state == MachineState::gone || m->recall_at >= 0) continue;
+    ++heard;
+    if (now - m->last_report > 1.6 * settings_.report_s && m->unlisted_at < 0) ++missing;
+  }
+  return missing >= 3 && static_cast<double>(missing) >= kManyShare * static_cast<double>(heard);
+}
+
 void Core::watch_machines(double now) {
   const double quiet = silence_limit();
+  // They come back one by one: the last of a cut are waited for as the first were.
+  if (many_silent(now)) many_silent_until_ = now + kTakeoverGrace;
+  many_silent_ = now < many_silent_until_;
   for (const auto& mp : machines_) {
     Machine& m = *mp;
     const double silent = now - m.last_report;
@@ -252,7 +279,7 @@
       case MachineState::draining:
         if (m.recall_at >= 0 && now > m.recall_at + 1 && silent > 1.5 * settings_.report_s) {
           condemn(m, "taken back");
-        } else if (silent > quiet) {
+        } else if (silent > (many_silent_ && !holds_cancelled(m) ? patience() : quiet)) {
           // Silence proves nothing; the cloud's answer to returning it does (invariant 3).
           condemn(m, "silent");
         } else if (m.unlisted_at >= 0 && silent > 2 * settings_.report_s) {
--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -23,6 +23,7 @@
 //   at T ask ID                   poll for a job that may never have been submitted
 //   at T crash leader|all|K [for S]
 //   at T cut leader|K from state|workers|users|all for S [hold]
+//   at T unplug MACHINES for S [hold]     cut from all controllers, a count of machines
 //   at T state_outage S
 //   at T cloud_outage S
 //   at T hang|sick|take MACHINES [for S] [notice S]    MACHINES: a count, or all, or busy
@@ -336,6 +337,18 @@
         world->cloud_outage = true;
         world->clock.after(s, [world] { world->cloud_outage = false; });
       });
+    } else if (what == "unplug") {
+      size_t left = static_cast<size_t>(number(w, 3, line));
+      const double s = option("for", 10);
+      const bool hold = flag("hold");
+      world->clock.at(t, [world, left, s, hold]() mutable {
+        for (auto& [name, m] : world->workers) {
+          if (m->gone || !m->up) continue;
+          if (left-- == 0) break;
+          for (size_t i = 0; i < world->nodes.size(); ++i)
+            world->cut("n" + std::to_string(i), name, s, hold);
+        }
+      });
     } else if (what == "hang" || what == "sick" || what == "take") {
       const std::string which = word(w, 3, line);
       const double s = option("for", 10), notice = option("notice", -1);
