--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -13,11 +13,12 @@
 //   capacity ZONE spot|ordinary N machines to be had (default 100)
 //   messages [lose P] [repeat P] [slow P]    chances for every message, for the whole run
 //   never_boots P
+//   objective LOT wait|finished S   what is promised for a class
 //
 // Then what happens, at a time in seconds:
 //
 //   at T submit ID array|gang N [gpus G] [cpus C] [mem M] [run S] [image NAME GB] [spot]
-//        [one_zone] [scatter] [zone Z] [team T] [rank idle|standard|urgent|critical]
+//        [one_zone] [scatter] [zone Z] [team T] [lot L] [rank idle|standard|urgent|critical]
 //        [save EVERY NEEDS] [faulty]
 //   at T abort ID
 //   at T ask ID                   poll for a job that may never have been submitted
@@ -223,6 +224,9 @@
         else
           wrong(line, "unknown: " + w[i]);
       }
+    } else if (w[0] == "objective") {
+      settings_.objectives.push_back(
+          {word(w, 2, line) == "wait", word(w, 1, line), number(w, 3, line)});
     } else if (w[0] == "never_boots") {
       never_boots_ = number(w, 1, line);
     } else {
@@ -261,6 +265,8 @@
           s.image_gb = number(w, i + 2, line);
         } else if (w[i] == "zone") {
           s.zone = word(w, i + 1, line);
+        } else if (w[i] == "lot") {
+          s.lot = word(w, i + 1, line);
         } else if (w[i] == "team") {
           s.team = word(w, i + 1, line);
         } else if (w[i] == "rank") {
