A gang that still gathers gets a replacement under its attempt number

Before, the loss of one machine stopped the whole gang, which fetched and gathered anew. Only a machine that is gone or whose session rose is replaced so: its worker can hold nothing of the attempt.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -307,6 +307,17 @@
   team_used_[job.team] -= job.spec.each;
 }
 
+// Whether all attempts of a gang that have not ended wait for the others, as far as we know.
+bool Core::still_gathers(const Job& job) const {
+  bool any = false;
+  for (const auto& [t, a] : job.attempts) {
+    if (a.state == AttemptState::ended) continue;
+    if (a.stop || a.state > AttemptState::gathering) return false;
+    any = true;
+  }
+  return any;
+}
+
 void Core::after_end(Job& job, const Attempt& a, double now) {
   if (a.cause == Cause::done) {
     if (job.gang()) {
@@ -323,9 +334,12 @@
     return;
   }
   if (job.gang()) {
-    // The rest of the gang cannot go on without it; stop what does not leave by itself.
-    for (auto& [t, other] : job.attempts)
-      if (other.number == a.number) stop_attempt(job, other, 0);
+    // A gang that still gathers waits for a replacement, if the worker that was lost can hold
+    // nothing of this attempt any more. Otherwise the rest cannot go on without it; what does not
+    // leave by itself is stopped.
+    if (a.cause != Cause::none || !still_gathers(job))
+      for (auto& [t, other] : job.attempts)
+        if (other.number == a.number) stop_attempt(job, other, 0);
   }
   if (a.cause == Cause::no_such || a.cause == Cause::no_room || a.cause == Cause::in_use)
     job.not_before = std::max(job.not_before, now + 1.0);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -200,6 +200,7 @@
   Machine& machine(const std::string& name, double now);
   void end_attempt(Job& job, uint32_t task, Cause cause, double now, const char* why);
   void vacate(Job& job, const Attempt& a);
+  bool still_gathers(const Job& job) const;
   void after_end(Job& job, const Attempt& a, double now);
   void release(Job& job, uint32_t task);  // forget an attempt whose removal is durable
   void stop_attempt(Job& job, Attempt& a, double grace);
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -207,7 +207,21 @@
 }
 
 bool Core::place_gang(Job& job, double now, int& budget) {
-  if (!job.attempts.empty()) return true;  // the old attempt has not left entirely
+  if (!job.attempts.empty()) {
+    // Either the old attempt has not left entirely, or it gathers and lacks some: replacements
+    // join it under its number (invariant 4's exception).
+    const uint64_t number = job.attempts.begin()->second.number;
+    for (const auto& [t, a] : job.attempts)
+      if (a.state == AttemptState::ended || a.number != number) return true;
+    if (!still_gathers(job)) return true;
+    while (!job.waiting.empty() && within_limit(job, 1)) {
+      const Index m = choose(job, now, kNone);
+      if (m == kNone) return false;
+      propose(job, *job.waiting.begin(), number, m, now);
+      --budget;
+    }
+    return true;
+  }
   if (!within_limit(job, job.tasks())) return true;
   std::vector<Index> zones{kNone};
   if (job.spec.one_zone) {
@@ -265,7 +279,8 @@
   uint32_t pending = 0;
   for (const auto& m : machines_)
     if (m->reserved_for == job.id && now < m->reserved_until) ++pending;
-  const uint32_t wanted = job.gang() ? job.tasks() : std::min<uint32_t>(job.waiting.size(), 8);
+  const uint32_t wanted = static_cast<uint32_t>(
+      job.gang() ? job.waiting.size() : std::min<size_t>(job.waiting.size(), 8));
   while (pending < wanted) {
     Index best = kNone;
     double best_cost = 0;
