--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -23,9 +23,9 @@
 constexpr double kReserve = 12;
 // More than stow_s, so that a save begun in time is not cut short by rounding.
 constexpr double kGraceMargin = 1;
-// In seconds of fetch: how much rather other work leaves a machine alone that holds the image of a
-// class that is promised a prompt start.
-constexpr double kLeaveWarm = 3;
+// Share of its fetch time: how much rather other work leaves a machine alone that holds the image
+// of a class that is promised a prompt start. A large image decides alone whether one is kept.
+constexpr double kLeaveWarm = 0.5;
 // In seconds of age: a promise of a prompt start goes before anything else of its rank.
 constexpr double kPromptFirst = 1e6;
 // In seconds of age: how far the largest job stands back for small ones.
@@ -149,7 +149,8 @@
   if (job.spec.spot && !m.spot) s += kSpotPreference;
   if (!job.prompt)
     for (const auto& [i, e] : m.images)
-      if (i != job.image && prompt_images_.count(i)) s += kLeaveWarm;
+      if (i != job.image && prompt_images_.count(i))
+        s += kLeaveWarm * e.second / std::max(0.01, type.fetch_gb_per_s);
   const double filled = std::max({type.size.cpus > 0 ? m.used.cpus / type.size.cpus : 0,
                                   type.size.gpus > 0 ? m.used.gpus / type.size.gpus : 0,
                                   type.size.mem > 0 ? m.used.mem / type.size.mem : 0});
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -390,7 +390,7 @@
   changed();
 }
 
-void Worker::leave(const std::string& job, uint32_t task, Cause why, bool saved) {
+void Worker::leave(std::string job, uint32_t task, Cause why, bool saved) {
   auto it = tasks.find({job, task});
   if (it == tasks.end()) return;
   const bool was_on = it->second.seen != Seen::pulling && it->second.seen != Seen::exited;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -111,7 +111,8 @@
   void execute(const std::vector<Order>& orders);
   std::optional<Report> direct(uint64_t token, uint64_t session, const std::vector<Order>& orders);
   void begin(const std::string& job, uint32_t task);
-  void leave(const std::string& job, uint32_t task, Cause why, bool saved);
+  // By value: callers pass keys of the map that this erases from.
+  void leave(std::string job, uint32_t task, Cause why, bool saved);
   void changed();
 
  private:
