--- a/src/core/core.h
+++ b/src/core/core.h
@@ -28,6 +28,9 @@
 
 namespace rookdyke {
 
+// More than a task needs to save, so that a save begun in time is not cut short by rounding.
+inline constexpr double kGraceMargin = 1;
+
 struct Attempt {
   uint32_t task = 0;
   uint64_t number = 0;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -28,14 +28,6 @@
 constexpr double kManyShare = 0.15;
 constexpr size_t kFleetPerRow = 80;
 
-double ratio(const Amounts& need, const Amounts& size, double safe) {
-  double r = 0;
-  if (size.cpus > 0) r = std::max(r, need.cpus / (safe * size.cpus));
-  if (size.gpus > 0) r = std::max(r, need.gpus / (safe * size.gpus));
-  if (size.mem > 0) r = std::max(r, need.mem / (safe * size.mem));
-  return r;
-}
-
 }  // namespace
 
 void Core::set_prices(const std::vector<TypeInfo>& types) {
@@ -68,7 +60,7 @@
   for (Index t = 0; t < types_.size(); ++t) {
     if (!job.types.empty() && !job.types[t]) continue;
     if (!job.spec.each.fits(types_[t].size)) continue;
-    const double price = ratio(job.spec.each, types_[t].size, 1) *
+    const double price = job.spec.each.share_of(types_[t].size) *
                          (job.spec.spot ? types_[t].spot_price : types_[t].price);
     if (best == kNone || price < best_price) {
       best = t;
@@ -157,7 +149,7 @@
   // Exception to the design's one count per type: spot machines cannot serve jobs that may not
   // use them, so those jobs' demand is a floor for the ordinary ones.
   const double ordinary_need =
-      std::ceil(ratio(s.ordinary, type.size, settings_.tuning.safe_fraction) - 1e-9);
+      std::ceil(s.ordinary.share_of(type.size.times(settings_.tuning.safe_fraction)) - 1e-9);
   double gap = std::max(s.target - total, ordinary_need - ordinary);
   if (gap <= 0) {
     if (total > s.target) {
@@ -178,7 +170,7 @@
     if (set_state(m, MachineState::ready, "needed again")) --gap;
   }
   if (gap <= 0 || asked > 0 || now < hire_at_) return;
-  const bool spot_demand = ratio(s.demand, type.size, 1) > ratio(s.ordinary, type.size, 1) + 1e-9;
+  const bool spot_demand = s.demand.share_of(type.size) > s.ordinary.share_of(type.size) + 1e-9;
   auto pick_zone = [&](bool spot) {
     Index best = kNone;
     for (const auto& [z, n] : per_zone) {
@@ -223,7 +215,7 @@
     for (const auto& m : machines_)
       if (m->type == t && !m->spot && counts(*m, now)) ++ordinary;
     const double need =
-        std::ceil(ratio(s.ordinary, types_[t].size, settings_.tuning.safe_fraction) - 1e-9);
+        std::ceil(s.ordinary.share_of(types_[t].size.times(settings_.tuning.safe_fraction)) - 1e-9);
     Machine* emptiest = nullptr;
     double least = 0;
     for (const auto& mp : machines_) {
@@ -231,7 +223,7 @@
       if (m.type != t || m.state != MachineState::ready || !counts(m, now)) continue;
       if (!m.spot && ordinary <= need) continue;
       // Of equally empty ones, the dearer goes first.
-      const double filled = ratio(m.used, types_[t].size, 1) + (m.spot ? 1e-3 : 0);
+      const double filled = m.used.share_of(types_[t].size) + (m.spot ? 1e-3 : 0);
       if (!emptiest || filled < least) {
         emptiest = &m;
         least = filled;
@@ -290,7 +282,7 @@
           } else if (now - m.draining_since > settings_.tuning.drain_deadline_s) {
             for (const auto& [j, t] : m.tasks) {
               Job& job = *jobs_.at(j);
-              stop_with_gang(job, job.attempts.at(t), job.spec.save_s + 1);
+              stop_with_gang(job, job.attempts.at(t), job.spec.save_s + kGraceMargin);
             }
           }
         }
--- a/src/core/forecast.cpp
+++ b/src/core/forecast.cpp
@@ -75,13 +75,7 @@
 double Forecast::target(const Amounts& size) const {
   Amounts want = next_;
   want += spare();
-  double ratio = 0;
-  auto resource = [&](double need, double have) {
-    if (have > 0) ratio = std::max(ratio, need / (tuning_.safe_fraction * have));
-  };
-  resource(want.cpus, size.cpus);
-  resource(want.gpus, size.gpus);
-  resource(want.mem, size.mem);
+  double ratio = want.share_of(size.times(tuning_.safe_fraction));
   if (misses_.empty()) ratio += tuning_.start_spare;
   return std::ceil(ratio - 1e-9);
 }
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -21,8 +21,6 @@
 constexpr double kPackPreference = 3;
 // How long room made by stopping others is kept for the job it was made for.
 constexpr double kReserve = 12;
-// More than stow_s, so that a save begun in time is not cut short by rounding.
-constexpr double kGraceMargin = 1;
 // Share of its fetch time: how much rather other work leaves a machine alone that holds the image
 // of a class that is promised a prompt start. A large image decides alone whether one is kept.
 constexpr double kLeaveWarm = 0.5;
@@ -57,10 +55,7 @@
   if (start >= 0) return start - age - kPromptFirst;
   double share = 0;
   for (const TypeInfo& t : types_) {
-    double r = 0;
-    if (t.size.cpus > 0) r = std::max(r, job.spec.each.cpus / t.size.cpus);
-    if (t.size.gpus > 0) r = std::max(r, job.spec.each.gpus / t.size.gpus);
-    if (t.size.mem > 0) r = std::max(r, job.spec.each.mem / t.size.mem);
+    const double r = job.spec.each.share_of(t.size);
     if (share == 0 || r < share) share = r;
   }
   const double left = (job.tasks() - job.done_count) * share * job.spec.estimate_s;
@@ -151,9 +146,7 @@
     for (const auto& [i, e] : m.images)
       if (i != job.image && prompt_images_.count(i))
         s += kLeaveWarm * e.second / std::max(0.01, type.fetch_gb_per_s);
-  const double filled = std::max({type.size.cpus > 0 ? m.used.cpus / type.size.cpus : 0,
-                                  type.size.gpus > 0 ? m.used.gpus / type.size.gpus : 0,
-                                  type.size.mem > 0 ? m.used.mem / type.size.mem : 0});
+  const double filled = m.used.share_of(type.size);
   return s + kPackPreference * (1 - filled);
 }
 
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -16,8 +16,6 @@
 constexpr double kSuspectFor = 20;
 // A job that failed on this many machines is taken for faulty itself.
 constexpr size_t kFaultyJobAfter = 3;
-// More than stow_s, so that a save begun in time is not cut short by rounding.
-constexpr double kGraceMargin = 1;
 
 AttemptState phase(Seen s) {
   switch (s) {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -2,6 +2,7 @@
 // The vocabulary of the core. Names are mapped to dense indices at the door (Names) and stay
 // indices inside; only logs and messages turn them back into text.
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -48,6 +49,14 @@
     return *this;
   }
   Amounts times(double k) const { return {cpus * k, gpus * k, mem * k}; }
+  // The largest ratio over the resources that a machine of that size has.
+  double share_of(const Amounts& size) const {
+    double r = 0;
+    if (size.cpus > 0) r = std::max(r, cpus / size.cpus);
+    if (size.gpus > 0) r = std::max(r, gpus / size.gpus);
+    if (size.mem > 0) r = std::max(r, mem / size.mem);
+    return r;
+  }
   // The slack absorbs the rounding of sums of decimal amounts.
   bool fits(const Amounts& room) const {
     constexpr double slack = 1e-6;
