--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -126,7 +126,11 @@
     for (auto& t : threads_) t.join();
   }
   int port() const { return server_.port(); }
-  void use(std::map<std::string, int> nodes) { nodes_ = std::move(nodes); }
+  void use(std::map<std::string, int> nodes) {
+    std::lock_guard lock(mutex_);
+    nodes_ = std::move(nodes);
+    known_.notify_all();
+  }
   size_t hired() {
     std::lock_guard lock(mutex_);
     return names_.size();
@@ -172,7 +176,14 @@
   void work(const std::string& name, bool spot) {
     std::map<std::string, json> tasks;
     uint64_t token = 0, tally = 0;
-    auto node = nodes_.begin();
+    // Machines may be hired before the nodes' ports are known here.
+    std::map<std::string, int> nodes;
+    {
+      std::unique_lock lock(mutex_);
+      known_.wait(lock, [this] { return !nodes_.empty(); });
+      nodes = nodes_;
+    }
+    auto node = nodes.begin();
     while (!stop_) {
       json list = json::array();
       for (const auto& [k, t] : tasks) list.push_back(t);
@@ -202,16 +213,17 @@
       } else {
         const json a = r ? body_of(r->body) : json();
         const std::string leader = a.is_object() ? a.value("steward", "") : "";
-        if (nodes_.count(leader))
-          node = nodes_.find(leader);
-        else if (++node == nodes_.end())
-          node = nodes_.begin();
+        if (nodes.count(leader))
+          node = nodes.find(leader);
+        else if (++node == nodes.end())
+          node = nodes.begin();
       }
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
   }
 
   std::mutex mutex_;
+  std::condition_variable known_;
   std::atomic<bool> stop_{false};
   std::map<std::string, int> nodes_;
   std::vector<std::string> names_;
