--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -68,8 +68,8 @@
   lost_ = true;
 }
 
-std::string Core::new_mark() {
-  return std::to_string(token_) + "." + std::to_string(next_txn_ + 1);
+std::string Core::mark_of(uint64_t txn) const {
+  return std::to_string(token_) + "." + std::to_string(txn);
 }
 
 // ---------------------------------------------------------------- jobs
@@ -367,7 +367,7 @@
   f.chunk = n;
   f.kind = Flight::Kind::chunk;
   ledger::Chunk out;
-  out.mark = std::to_string(token_) + "." + std::to_string(id);
+  out.mark = mark_of(id);
   out.top = job.top;
   const uint32_t from = n * job.per, to = std::min(job.tasks(), from + job.per);
   for (uint32_t t = from; t < to; ++t)
@@ -403,7 +403,7 @@
   row.standing = ledger::Standing::done;
   row.tasks = job.tasks();
   row.per = job.per;
-  row.mark = f.txn.mark = std::to_string(token_) + "." + std::to_string(id);
+  row.mark = f.txn.mark = mark_of(id);
   f.txn.conditions = {{ledger::kLeaderKey, token_}, {ledger::job_key(job.spec.id), job.stamp}};
   f.txn.changes = {{ledger::job_key(job.spec.id), false, ledger::encode(row), 0}};
   // A small job's chunks go in the same breath; large ones are swept later.
@@ -466,7 +466,7 @@
     Flight f;
     f.job = i;
     f.kind = Flight::Kind::sweep;
-    f.txn.mark = std::to_string(token_) + "." + std::to_string(id);
+    f.txn.mark = mark_of(id);
     f.txn.conditions = {{ledger::kLeaderKey, token_}};
     for (const auto& [n, c] : job.chunks) {
       if (f.txn.changes.size() >= std::max<size_t>(1, settings_.txn_ops / 2)) break;
@@ -479,6 +479,13 @@
   return std::nullopt;
 }
 
+// The chunks whose rows an executed transaction deleted.
+void Core::forget_erased(Job& job, const ledger::Transaction& txn) {
+  for (const ledger::Change& c : txn.changes)
+    if (c.erase)
+      job.chunks.erase(static_cast<uint32_t>(std::stoul(c.key.substr(c.key.rfind('/') + 1))));
+}
+
 void Core::settle_chunk(Job& job, uint32_t n, const ledger::Result& r, double) {
   Job::Chunk& chunk = job.chunks[n];
   chunk.in_flight = false;
@@ -571,9 +578,7 @@
       if (applied) {
         job.stamp = r.revision;
         if (!set_state(job, JobState::done)) break;
-        for (const ledger::Change& c : f.txn.changes)
-          if (c.erase)
-            job.chunks.erase(static_cast<uint32_t>(std::stoul(c.key.substr(c.key.rfind('/') + 1))));
+        forget_erased(job, f.txn);
         while (!job.attempts.empty()) release(job, job.attempts.begin()->first);
         closing_.erase(job.id);
         spdlog::debug("job {} is done", job.spec.id);
@@ -582,9 +587,7 @@
       }
       break;
     case Flight::Kind::sweep:
-      if (applied)
-        for (const ledger::Change& c : f.txn.changes)
-          job.chunks.erase(static_cast<uint32_t>(std::stoul(c.key.substr(c.key.rfind('/') + 1))));
+      if (applied) forget_erased(job, f.txn);
       break;
     case Flight::Kind::fleet:
       break;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -211,7 +211,8 @@
   void mark_dirty(Job& job, uint32_t task);
   PendingTransaction chunk_transaction(Job& job, uint32_t chunk);
   PendingTransaction closing_transaction(Job& job);
-  std::string new_mark();
+  std::string mark_of(uint64_t txn) const;
+  void forget_erased(Job& job, const ledger::Transaction& txn);
   void fail(const std::string& why);
   bool busy(const Job& job) const;
   void settle_chunk(Job& job, uint32_t chunk, const ledger::Result& r, double now);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -408,7 +408,7 @@
   const uint64_t id = ++next_txn_;
   Flight f;
   f.kind = Flight::Kind::fleet;
-  f.txn.mark = std::to_string(token_) + "." + std::to_string(id);
+  f.txn.mark = mark_of(id);
   f.txn.conditions = {{ledger::kLeaderKey, token_}};
   std::vector<json> rows(1, json::array());
   for (const auto& m : machines_) {
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -102,7 +102,6 @@
   std::atomic<bool> loaded_{false};
   std::atomic<double> state_ok_at_{-1e9};
   std::atomic<double> siblings_ok_at_{-1e9};  // a sibling last said that the state answers it
-  std::atomic<double> last_request_at_{0};
 
   state::Budgets state_budgets_;
   net::Budget cloud_budget_;
