--- a/src/core/core.h
+++ b/src/core/core.h
@@ -42,6 +42,7 @@
   double grace_s = 0;  // with this much time to save
   double since = 0;    // proposed or taken over at
   double running_since = 0;
+  bool shielded = false;  // its job had starved: not to be stopped for higher ranks
   // The report in whose answer `run` was last ordered; (0,0): never by this leader.
   uint64_t ordered_session = 0, ordered_seq = 0;
   bool direct = false;  // a `run` sent straight to its worker may still be executed
@@ -61,23 +62,45 @@
   std::map<uint32_t, Attempt> attempts;  // at most one per task, ever (rule ran_twice)
   ledger::TaskSet done;
   uint32_t done_count = 0;
-  uint64_t top = 0;  // highest attempt number used
-  struct Chunk {
-    uint64_t stamp = 0;
-    bool dirty = false, in_flight = false;
-  };
-  std::map<uint32_t, Chunk> chunks;
-  bool prompt = false;       // its class is promised a prompt start
-  bool stale = false;        // its row changed under us; wait for the watch
+  uint32_t proposed = 0;  // attempts whose start is not durable yet
+  uint64_t top = 0;       // highest attempt number used
+  // The page that each chunk of tasks lies in; kNone: never written. It stays for the job's life.
+  std::vector<Index> pages;
+  uint32_t flights = 0;              // transactions under way that name its row or its attempts
+  bool prompt = false;               // its class is promised a prompt start
+  double stale_since = -1;           // its row changed under us: the watch has to bring it
+  double share = 0;                  // of the smallest machine that a task takes
+  std::vector<double> start_within;  // what its class is promised of starting
+  bool guaranteed = false;           // within its team's guarantee, as of this round
+  double last_start = -1;            // a task of it was last placed
+  double aborted_at = -1;
   double not_before = 0;     // back-off after errors of its own
   double retry_at = 0;       // after a refused transaction
+  double set_aside_at = 0;   // machines are looked for no earlier
   std::set<Index> erred_on;  // machines where it failed since it last succeeded
   uint32_t errors = 0;
   uint32_t tasks() const { return spec.tasks; }
   bool gang() const { return spec.shape == Shape::gang; }
   bool over() const { return state == JobState::done || state == JobState::aborted; }
+  bool stale() const { return stale_since >= 0; }
+  uint32_t chunk_of(uint32_t task) const { return task / per; }
+};
+
+// A row of the ledger that holds chunks of several jobs; at most one write of it is under way.
+struct Page {
+  uint64_t stamp = 0;
+  bool in_flight = false;
+  size_t reserved = 0;                           // bytes set aside for its chunks
+  std::set<std::pair<Index, uint32_t>> members;  // (job, chunk)
+  double dirty_since = -1;                       // negative: nothing to write
+  bool urgent = false;                           // somebody waits for what is to be written
+  double retry_at = 0;
 };
 
+// After so many reports that took up nothing of what they were answered a machine is taken to be
+// out of reach, however regularly it reports.
+inline constexpr int kUnheeded = 2;
+
 struct Machine {
   Index index = kNone;
   std::string name, addr;
@@ -89,7 +112,7 @@
   double draining_since = 0;
   double recall_at = -1;  // when the cloud takes it; negative: no notice
   uint64_t session = 0, seq = 0;
-  bool heard = false;   // reported to this leader
+  bool heard = false;   // a report of it carried this leader's token
   bool was_up = false;  // the ledger has attempts on it, or it reported
   bool listed = false;  // seen in the cloud's list, or unlisted since `unlisted_at`
   double unlisted_at = -1;
@@ -98,6 +121,16 @@
   // Attempts for which a direct order stays unanswered: a late copy may be executed as long as
   // token and session hold, and would start a cleared attempt anew, so these are never cleared.
   std::set<std::tuple<std::string, uint32_t, uint64_t>> unanswered;
+  // What the answer to its last report ordered; the next report shows whether it arrived.
+  std::vector<std::tuple<Verb, std::string, uint32_t, uint64_t>> owed;
+  int unheeded = 0;  // reports in a row that took up nothing of it
+  double unheeded_since = -1;
+  double mute_since = -1;  // reports with an older token than ours since, though answered
+  int mute = 0;
+  uint64_t mute_session = 0, mute_seq = 0;
+  int introductions = 0;  // direct calls that told it our token, unasked
+  double introduce_at = 0;
+  bool unreachable() const { return unheeded >= kUnheeded; }
   bool direct_in_flight = false;
   double direct_after = 0;  // after a direct order failed, reports carry the orders for a while
   bool returning = false;   // a return call is under way
@@ -109,7 +142,9 @@
   double suspect_until = 0;
   Index reserved_for = kNone;  // a job that others were stopped for
   double reserved_until = 0;
-  bool usable() const { return state == MachineState::ready && heard && !cordoned; }
+  bool usable() const {
+    return state == MachineState::ready && heard && !cordoned && !strays && !unreachable();
+  }
 };
 
 struct ReportReply {
@@ -117,7 +152,7 @@
   std::vector<Order> orders;
 };
 
-// Orders sent straight to a worker, without waiting for its next report.
+// Orders (none: only our token) sent straight to a worker, without waiting for its next report.
 struct Direct {
   Index machine = kNone;
   std::string addr;
@@ -188,18 +223,28 @@
   };
   Summary summary(double now) const;
   const std::vector<std::unique_ptr<Machine>>& machines() const { return machines_; }
+  // How much was done, for checks that it follows what changed and not the size of everything.
+  struct Work {
+    uint64_t rounds = 0, jobs_looked_at = 0, machines_looked_at = 0;
+  };
+  const Work& work() const { return work_; }
   const Job* find_job(const std::string& id) const;
 
  private:
+  struct Flight;
+
   // -- state machines (the only places that change a state)
   bool set_state(Job& job, JobState to);
   bool set_state(Job& job, Attempt& a, AttemptState to);
   bool set_state(Machine& m, MachineState to, const char* why);
 
   // -- core.cpp
+  Job* find(Index job) { return job < jobs_.size() ? jobs_[job].get() : nullptr; }
+  const Job* find(Index job) const { return job < jobs_.size() ? jobs_[job].get() : nullptr; }
   Job& add_job(const MirrorJob& row, const std::string& id, double now);
-  void abort_job(Job& job, uint64_t stamp);
+  void abort_job(Job& job, uint64_t stamp, double now);
   void drop_if_over(Index id);
+  void erase_job(Job& job);
   Machine& machine(const std::string& name, double now);
   void end_attempt(Job& job, uint32_t task, Cause cause, double now, const char* why);
   void vacate(Job& job, const Attempt& a);
@@ -208,21 +253,26 @@
   void release(Job& job, uint32_t task);  // forget an attempt whose removal is durable
   void stop_attempt(Job& job, Attempt& a, double grace);
   void stop_with_gang(Job& job, Attempt& a, double grace);
-  void mark_dirty(Job& job, uint32_t task);
-  PendingTransaction chunk_transaction(Job& job, uint32_t chunk);
-  PendingTransaction closing_transaction(Job& job);
+  void mark_dirty(Job& job, uint32_t task, bool urgent, double now);
+  Index page_for(size_t bytes);
+  bool proposal_stands(const Attempt& a) const;
+  void void_proposals(Job& job, bool all);
+  std::optional<PendingTransaction> page_transaction(Index page, double now);
+  std::optional<PendingTransaction> closing_transaction(double now);
   std::string mark_of(uint64_t txn) const;
-  void forget_erased(Job& job, const ledger::Transaction& txn);
   void fail(const std::string& why);
-  bool busy(const Job& job) const;
-  void settle_chunk(Job& job, uint32_t chunk, const ledger::Result& r, double now);
+  void settle_page(const Flight& f, const ledger::Result& r, double now);
+  void settle_closing(const Flight& f, const ledger::Result& r);
 
   // -- reports.cpp
   void learn(Machine& m, const Report& r, double now);
   void take_task(Machine& m, Job& job, Attempt& a, const TaskReport& t, double now);
   void judge_error(Machine& m, Job& job, double now);
+  using Listed = std::vector<std::pair<Index, uint32_t>>;
   void take_list(Machine& m, const Report& r, std::vector<Order>* stops, std::vector<Order>* clears,
-                 std::set<std::pair<Index, uint32_t>>& listed, double now);
+                 Listed& listed, double now);
+  void heed(Machine& m, const Report& r);
+  std::optional<Direct> introduction(double now);
   void orders_for(Machine& m, const Report& r, ReportReply& reply, double now);
   bool may_order(const Job& job, const Attempt& a) const;
   void recall(Machine& m, double notice_s, double now);
@@ -232,7 +282,23 @@
   void place(double now);
   bool place_array(Job& job, double now, int& budget);
   bool place_gang(Job& job, double now, int& budget);
-  Index choose(const Job& job, double now, Index zone_only) const;
+  struct Place {
+    double score = 0;
+    Index machine = kNone;
+    uint32_t slots = 0;
+  };
+  struct Eviction {
+    double cost = 0;
+    Index machine = kNone;
+    std::vector<std::pair<Index, uint32_t>> victims;
+  };
+  // special: the job itself, not the machines' room, may be why there are few.
+  std::vector<Place> places(const Job& job, double now, bool* special = nullptr);
+  std::vector<Eviction> evictions(const Job& job, double now);
+  void gather_open(double now);
+  int room_of(const Machine& m) const;
+  bool known_full(const Job& job, uint32_t count) const;
+  bool takes_work(const Machine& m, double now) const;
   bool may_run(const Job& job, const Machine& m, double now) const;
   bool zone_allows(const Job& job, Index zone, uint32_t more) const;
   bool within_limit(const Job& job, uint32_t count) const;
@@ -240,7 +306,10 @@
   void propose(Job& job, uint32_t task, uint64_t number, Index machine, double now);
   void preempt_for(Job& job, double now);
   bool may_stop(const Job& job, const Job& victim) const;
-  bool guaranteed(const Job& job) const;
+  double frees_at(const Job& job, const Machine& m, double now) const;
+  void set_aside(Job& job, double now);
+  void find_guaranteed();
+  bool starved(const Job& job, double now) const;
   double urgency(const Job& job, double now) const;
   void sort_jobs(double now);
 
@@ -267,11 +336,16 @@
   bool holds_cancelled(const Machine& m) const;
   void drop_machine(Machine& m, double now, const char* why);
   std::optional<PendingTransaction> fleet_transaction(double now);
+  size_t fleet_per_row() const;
+  void mark_fleet(const Machine& m);
+  void load_fleet(const Mirror& mirror, double now);
+  bool overdue_cancel(const Machine& m, double now) const;
 
   Settings settings_;
   std::vector<TypeInfo> types_;
   uint64_t token_;
   double started_;
+  double introduce_at_ = 0;
   bool lost_ = false;
   bool eager_ = false;
   bool many_silent_ = false;
@@ -280,29 +354,55 @@
   std::set<Index> direct_;  // machines with orders worth sending at once
 
   Names job_names_, machine_names_, zone_names_, team_names_, image_names_, lot_names_, type_names_;
-  std::unordered_map<Index, std::unique_ptr<Job>> jobs_;
+  std::vector<std::unique_ptr<Job>> jobs_;  // by job index; empty: over, or unknown
+  std::vector<bool> finished_;  // by job index: over and forgotten, never taken up again
+  size_t open_jobs_ = 0;
   // By machine index. Machines that are gone stay as tombstones: late reports and lagging lists
   // still name them, and must not bring them back.
   std::vector<std::unique_ptr<Machine>> machines_;
   std::set<Index> prompt_images_;  // of classes that are promised a prompt start
-  std::vector<Index> order_;       // open jobs, most urgent first
+  std::vector<Index> order_;       // jobs with waiting tasks, most urgent first
+
+  // Of one round.
+  struct Full {  // no room for so many tasks of that size
+    Amounts each;
+    Index zone;
+    std::vector<bool> types;
+    bool spot, one_zone;
+    uint32_t count;
+  };
+  struct Hopeless {  // nothing could be stopped for such a job
+    Rank rank;
+    Index zone;
+    std::vector<bool> types;
+    bool spot, one_zone;
+    uint32_t more;
+    double share;
+  };
+  std::vector<Index> open_;
+  std::vector<Full> full_;
+  std::vector<Hopeless> hopeless_;
+  Amounts least_;  // component by component, of the waiting tasks
+  size_t aside_ = 0, ready_ = 0;
+  double preempt_at_ = 0;
+  Work work_;
 
   std::vector<Amounts> team_used_;  // by team index
 
   uint64_t next_txn_ = 0, next_hire_ = 0;
   struct Flight {
-    Index job = kNone;
-    uint32_t chunk = 0;
-    enum class Kind : uint8_t { chunk, closing, sweep, fleet } kind = Kind::chunk;
-    std::vector<uint32_t> started, ended;
+    enum class Kind : uint8_t { page, closing, fleet } kind = Kind::page;
+    Index page = kNone;
+    std::vector<std::pair<Index, uint32_t>> started, ended;  // (job, task)
+    std::vector<Index> jobs;                                 // each counted in Job::flights
     ledger::Transaction txn;
     double repeat_at = -1;  // outcome unknown: goes out again, unchanged
     bool sent_again = false;
   };
   std::map<uint64_t, Flight> flights_;
-  std::set<std::pair<Index, uint32_t>> dirty_;  // (job, chunk) to be written
-  std::set<Index> closing_;                     // jobs all of whose tasks are done
-  std::set<Index> sweep_;                       // over, nothing left on machines, chunks to delete
+  std::vector<Page> pages_;
+  std::set<Index> closing_;    // jobs all of whose tasks are done
+  bool closing_turn_ = false;  // closings and starts take turns
 
   std::vector<TypeState> type_state_;
   double next_sample_ = 0;
@@ -310,7 +410,8 @@
   std::deque<Hire> hires_;  // wanted and unanswered, oldest first
   bool hire_in_flight_ = false;
   double fleet_written_ = -1e9;
-  bool fleet_dirty_ = false, fleet_in_flight_ = false;
+  std::set<uint32_t> fleet_dirty_;  // rows of the rented list
+  bool fleet_in_flight_ = false;
   std::map<std::string, uint64_t> fleet_stamps_;
 };
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -19,14 +19,22 @@
 // A new leader's machines get this long to find it before their silence means anything: a worker
 // needs up to 4 s of no answer, 1 s a node and one report interval.
 constexpr double kTakeoverGrace = 8;
-// The design's rented list is written at most this often.
-constexpr double kFleetWriteEvery = 2;
-// After the lull one machine is drained in this time, as long as the target stays below. With one a
-// sample (5 s), thirty machines stood idle for two minutes after the last burst.
+// The design's rented list is written at most this often (it has: at most every 2 s). Its rows cost
+// writes that starts wait for, and the cloud's list tells a new leader the same a little later.
+constexpr double kFleetWriteEvery = 4;
+// After the lull machines are drained once in this time, as long as the target stays below: one, or
+// this share of the surplus. One a sample (5 s) left thirty of forty machines idle for two minutes
+// after the last burst; one a second would take ten minutes over six hundred.
 constexpr double kDrainEvery = 1;
+constexpr double kDrainShare = 0.1;
+// A cancelled job's tasks that are still not proven gone after this share of cancel_s: their
+// machine goes, for the cloud's answer is proof.
+constexpr double kCancelPatience = 0.5;
+// Reports that show that none of our answers arrives, for this long: returned.
+constexpr double kUnheededFor = 8;
 // The share of machines that has to be silent, beyond two, for a cut to be the likely cause.
 constexpr double kManyShare = 0.15;
-constexpr size_t kFleetPerRow = 80;
+constexpr size_t kFleetNameBytes = 24;
 
 }  // namespace
 
@@ -50,7 +58,15 @@
 // A cancelled job's tasks must be gone in cancel_s: their machine is not waited for.
 bool Core::holds_cancelled(const Machine& m) const {
   return std::any_of(m.tasks.begin(), m.tasks.end(),
-                     [&](const auto& t) { return jobs_.at(t.first)->state == JobState::aborted; });
+                     [&](const auto& t) { return jobs_[t.first]->state == JobState::aborted; });
+}
+
+bool Core::overdue_cancel(const Machine& m, double now) const {
+  return std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) {
+    const Job& job = *jobs_[t.first];
+    return job.state == JobState::aborted &&
+           now - job.aborted_at > kCancelPatience * settings_.cancel_s;
+  });
 }
 
 // The type whose machines a job's demand is counted for: the cheapest share of a machine.
@@ -73,8 +89,8 @@
 void Core::sample_demand(double now) {
   for (TypeState& t : type_state_) t.demand = t.ordinary = {};
   std::vector<Amounts> asked(team_names_.size());
-  for (const auto& [i, job] : jobs_) {
-    if (job->over()) continue;
+  for (const auto& job : jobs_) {
+    if (!job || job->over()) continue;
     const Index t = home(*job);
     if (t == kNone) continue;
     const double n = job->tasks() - job->done_count;
@@ -109,7 +125,7 @@
 }
 
 bool Core::counts(const Machine& m, double now) const {
-  if (m.cordoned || m.recall_at >= 0 || m.returning) return false;
+  if (m.cordoned || m.recall_at >= 0 || m.returning || m.unreachable()) return false;
   if (m.state == MachineState::booting) {
     const double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
     return now - m.hired_at <= kLateBoot * boot;
@@ -207,7 +223,7 @@
 
 void Core::plan_fleet(double now) {
   for (Index t = 0; t < types_.size(); ++t) plan_type(t, now);
-  // After the lull, the emptiest machine is drained; one per sample.
+  // After the lull, the emptiest machines are drained.
   for (Index t = 0; t < types_.size(); ++t) {
     TypeState& s = type_state_[t];
     if (s.above_since < 0 || now - s.above_since < settings_.tuning.lull_s) continue;
@@ -216,20 +232,26 @@
       if (m->type == t && !m->spot && counts(*m, now)) ++ordinary;
     const double need =
         std::ceil(s.ordinary.share_of(types_[t].size.times(settings_.tuning.safe_fraction)) - 1e-9);
-    Machine* emptiest = nullptr;
-    double least = 0;
-    for (const auto& mp : machines_) {
-      Machine& m = *mp;
-      if (m.type != t || m.state != MachineState::ready || !counts(m, now)) continue;
-      if (!m.spot && ordinary <= need) continue;
+    std::vector<std::pair<double, Index>> emptiest;
+    size_t total = 0;
+    for (const auto& m : machines_) {
+      if (m->type != t || !counts(*m, now)) continue;
+      ++total;
       // Of equally empty ones, the dearer goes first.
-      const double filled = m.used.share_of(types_[t].size) + (m.spot ? 1e-3 : 0);
-      if (!emptiest || filled < least) {
-        emptiest = &m;
-        least = filled;
-      }
+      if (m->state == MachineState::ready)
+        emptiest.emplace_back(m->used.share_of(types_[t].size) + (m->spot ? 1e-3 : 0), m->index);
+    }
+    std::sort(emptiest.begin(), emptiest.end());
+    const double surplus = static_cast<double>(total) - s.target;
+    double left = std::max(1.0, std::ceil(kDrainShare * surplus));
+    for (const auto& [filled, i] : emptiest) {
+      if (left <= 0) break;
+      Machine& m = *machines_[i];
+      if (!m.spot && ordinary <= need) continue;
+      if (!m.spot) --ordinary;
+      --left;
+      drain(m, now, "lull");
     }
-    if (emptiest) drain(*emptiest, now, "lull");
     s.above_since += kDrainEvery;
   }
 }
@@ -239,7 +261,9 @@
 bool Core::many_silent(double now) const {
   size_t heard = 0, missing = 0;
   for (const auto& m : machines_) {
-    if (!m->heard || m->state == MachineState::gone || m->recall_at >= 0) continue;
+    if (!m->heard || m->state == MachineState::gone || m->state == MachineState::condemned ||
+        m->recall_at >= 0)
+      continue;
     ++heard;
     if (now - m->last_report > 1.6 * settings_.report_s && m->unlisted_at < 0) ++missing;
   }
@@ -251,13 +275,39 @@
   // They come back one by one: the last of a cut are waited for as the first were.
   if (many_silent(now)) many_silent_until_ = now + kTakeoverGrace;
   many_silent_ = now < many_silent_until_;
+  // Many machines that heed nothing at once are our own slowness.
+  size_t heard = 0, unheeding = 0;
+  for (const auto& m : machines_)
+    if (m->heard && m->state != MachineState::gone) {
+      ++heard;
+      unheeding += m->unreachable();
+    }
+  const bool ours =
+      unheeding >= 5 && static_cast<double>(unheeding) >= kManyShare * static_cast<double>(heard);
   for (const auto& mp : machines_) {
     Machine& m = *mp;
     const double silent = now - m.last_report;
+    if (!m.unreachable())
+      m.unheeded_since = -1;
+    else if (m.unheeded_since < 0)
+      m.unheeded_since = now;
+    if (m.state != MachineState::condemned && m.state != MachineState::gone) {
+      if (m.unheeded_since >= 0 && !ours &&
+          (now - m.unheeded_since > kUnheededFor || holds_cancelled(m))) {
+        condemn(m, "takes up nothing of what it is answered");
+        continue;
+      }
+      if (overdue_cancel(m, now)) {
+        condemn(m, "holds tasks of a cancelled job");
+        continue;
+      }
+    }
     switch (m.state) {
       case MachineState::booting: {
         const double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
-        if (m.was_up) {
+        if (m.mute >= 3 && now - m.mute_since > kUnheededFor) {
+          condemn(m, "takes up none of our answers");
+        } else if (m.was_up) {
           // The ledger has tasks on it, so it was up under a predecessor.
           if (silent > quiet + kTakeoverGrace) condemn(m, "not heard since the takeover");
         } else if (m.unlisted_at >= 0 && now - m.hired_at > 2 * settings_.list_lag_s + 5) {
@@ -281,7 +331,7 @@
             condemn(m, "drained");
           } else if (now - m.draining_since > settings_.tuning.drain_deadline_s) {
             for (const auto& [j, t] : m.tasks) {
-              Job& job = *jobs_.at(j);
+              Job& job = *jobs_[j];
               stop_with_gang(job, job.attempts.at(t), job.spec.save_s + kGraceMargin);
             }
           }
@@ -315,11 +365,11 @@
         m.zone = z;
         m.spot = hire.spot;
         m.hired_at = now;
+        mark_fleet(m);
       }
       spdlog::info("hired {} of {} {} {} machines in {}", names.size(), hire.count,
                    hire.spot ? "spot" : "ordinary", hire.type, hire.zone);
       hires_.pop_front();
-      fleet_dirty_ = true;
       if (names.size() < static_cast<size_t>(hire.count) && t != kNone)
         type_state_[t].refused_until[{z, hire.spot}] = now + settings_.tuning.refusal_s;
       break;
@@ -353,8 +403,8 @@
 void Core::drop_machine(Machine& m, double now, const char* why) {
   if (!set_state(m, MachineState::gone, why)) return;
   const auto here = m.tasks;
-  for (const auto& [j, t] : here) end_attempt(*jobs_.at(j), t, Cause::none, now, why);
-  fleet_dirty_ = true;
+  for (const auto& [j, t] : here) end_attempt(*jobs_[j], t, Cause::none, now, why);
+  mark_fleet(m);
 }
 
 void Core::on_return(const std::vector<std::string>& names, CloudOutcome outcome, double now) {
@@ -382,7 +432,9 @@
       m.type = type_names_.find(l.type);
       m.zone = zone_names_.intern(l.zone);
       m.spot = l.spot;
+      mark_fleet(m);
     }
+    if (m.addr.empty()) m.addr = l.addr;
     if (!m.heard) m.hired_at = std::min(m.hired_at, now - l.age_s);
     if (l.state == ListedMachine::State::running && !m.heard) m.was_up = true;
     if (l.state == ListedMachine::State::failed && m.state != MachineState::condemned)
@@ -399,10 +451,18 @@
   }
 }
 
+size_t Core::fleet_per_row() const {
+  return std::max<size_t>(1, ledger::page_room(settings_.value_bytes) / kFleetNameBytes);
+}
+
+// A machine's row follows from its index, so that a change touches one row.
+void Core::mark_fleet(const Machine& m) {
+  fleet_dirty_.insert(static_cast<uint32_t>(m.index / fleet_per_row()));
+}
+
 std::optional<PendingTransaction> Core::fleet_transaction(double now) {
-  if (!fleet_dirty_ || fleet_in_flight_ || now - fleet_written_ < kFleetWriteEvery)
+  if (fleet_dirty_.empty() || fleet_in_flight_ || now - fleet_written_ < kFleetWriteEvery)
     return std::nullopt;
-  fleet_dirty_ = false;
   fleet_in_flight_ = true;
   fleet_written_ = now;
   const uint64_t id = ++next_txn_;
@@ -410,21 +470,49 @@
   f.kind = Flight::Kind::fleet;
   f.txn.mark = mark_of(id);
   f.txn.conditions = {{ledger::kLeaderKey, token_}};
-  std::vector<json> rows(1, json::array());
-  for (const auto& m : machines_) {
-    if (m->state == MachineState::gone || m->type == kNone) continue;
-    if (rows.back().size() >= kFleetPerRow) rows.push_back(json::array());
-    rows.back().push_back({m->name, types_[m->type].name, zone_names_.name(m->zone), m->spot});
-  }
-  for (size_t n = 0; n < rows.size() && n < settings_.txn_ops; ++n) {
-    const std::string key = ledger::fleet_key(static_cast<uint32_t>(n));
+  const size_t per = fleet_per_row();
+  while (!fleet_dirty_.empty() && f.txn.changes.size() < settings_.txn_ops) {
+    const uint32_t n = *fleet_dirty_.begin();
+    fleet_dirty_.erase(fleet_dirty_.begin());
+    std::map<std::tuple<Index, Index, bool>, json> groups;
+    for (size_t i = n * per; i < std::min(machines_.size(), (n + 1) * per); ++i) {
+      const Machine& m = *machines_[i];
+      if (m.state == MachineState::gone || m.type == kNone) continue;
+      groups[{m.type, m.zone, m.spot}].push_back(m.name);
+    }
+    json rows = json::array();
+    for (auto& [k, names] : groups)
+      rows.push_back(json::array({types_[std::get<0>(k)].name, zone_names_.name(std::get<1>(k)),
+                                  std::get<2>(k), std::move(names)}));
+    const std::string key = ledger::fleet_key(n);
     auto known = fleet_stamps_.find(key);
     f.txn.conditions.push_back({key, known == fleet_stamps_.end() ? 0 : known->second});
-    f.txn.changes.push_back({key, false, {{"machines", rows[n]}, {"w", f.txn.mark}}, 0});
+    f.txn.changes.push_back({key, false, {{"machines", std::move(rows)}, {"w", f.txn.mark}}, 0});
   }
   PendingTransaction p{id, f.txn, false};
   flights_[id] = std::move(f);
   return p;
 }
 
+// The rented list as a predecessor left it.
+void Core::load_fleet(const Mirror& mirror, double now) {
+  for (const auto& [key, row] : mirror.fleet()) {
+    fleet_stamps_[key] = row.first;
+    fleet_dirty_.insert(static_cast<uint32_t>(std::stoul(key.substr(key.rfind('/') + 1))));
+    if (!row.second.contains("machines") || !row.second["machines"].is_array()) continue;
+    for (const json& e : row.second["machines"]) {
+      if (!e.is_array() || e.size() < 4 || !e[0].is_string() || !e[1].is_string() ||
+          !e[2].is_boolean() || !e[3].is_array())
+        continue;
+      for (const json& name : e[3]) {
+        if (!name.is_string()) continue;
+        Machine& m = machine(name.get<std::string>(), now);
+        m.type = type_names_.find(e[0].get<std::string>());
+        m.zone = zone_names_.intern(e[1].get<std::string>());
+        m.spot = e[2].get<bool>();
+      }
+    }
+  }
+}
+
 }  // namespace rookdyke
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -5,9 +5,7 @@
 namespace rookdyke::ledger {
 
 std::string job_key(const std::string& job) { return kJobPrefix + job; }
-std::string chunk_key(const std::string& job, uint32_t chunk) {
-  return kTaskPrefix + job + "/" + std::to_string(chunk);
-}
+std::string page_key(uint32_t n) { return kTaskPrefix + std::to_string(n); }
 std::string fleet_key(uint32_t n) { return kFleetPrefix + std::to_string(n); }
 
 void TaskSet::add(uint32_t task) {
@@ -56,10 +54,35 @@
   return out;
 }
 
+namespace {
+constexpr size_t kFrame = 128;        // of a page: its mark and the brackets
+constexpr size_t kEntryFrame = 48;    // of a chunk in it
+constexpr size_t kUsualAttempt = 32;  // bytes of a live attempt; a done task takes at most 14
+
+size_t digits(uint64_t n) {
+  size_t d = 1;
+  while (n >= 10) n /= 10, ++d;
+  return d;
+}
+}  // namespace
+
+size_t page_room(size_t value_bytes) {
+  return value_bytes > 2 * kFrame ? value_bytes - kFrame : kFrame;
+}
+size_t chunk_reserve(const std::string& job, uint32_t tasks) {
+  return kEntryFrame + job.size() + kUsualAttempt * tasks;
+}
 uint32_t tasks_per_chunk(size_t value_bytes) {
-  // A live attempt takes up to about 60 bytes, a done task at most 14; 512 bytes of frame.
-  const size_t room = value_bytes > 1024 ? value_bytes - 512 : 512;
-  return static_cast<uint32_t>(std::clamp<size_t>(room / 64, 1, 512));
+  const size_t room = page_room(value_bytes) - kEntryFrame - 24;
+  return static_cast<uint32_t>(std::clamp<size_t>(room / kUsualAttempt, 1, 512));
+}
+size_t encoded_size(const Live& l) {
+  return 8 + digits(l.task) + digits(l.attempt) + l.machine.size() + digits(l.session);
+}
+size_t encoded_size(const std::string& job, const TaskSet& done) {
+  size_t n = kEntryFrame + job.size();
+  for (const auto& [a, b] : done.ranges()) n += digits(a) + digits(b) + 2;
+  return n;
 }
 
 namespace {
@@ -140,22 +163,35 @@
   }
 }
 
-json encode(const Chunk& chunk) {
-  json live = json::array();
-  for (const Live& l : chunk.live) live.push_back({l.task, l.attempt, l.machine, l.session});
-  return {{"done", chunk.done.encode()}, {"live", live}, {"top", chunk.top}, {"w", chunk.mark}};
+json encode(const Page& page) {
+  json entries = json::array();
+  for (const PageEntry& e : page.entries) {
+    json live = json::array();
+    for (const Live& l : e.chunk.live)
+      live.push_back(json::array({l.task, l.attempt, l.machine, l.session}));
+    entries.push_back(
+        json::array({e.job, e.n, e.chunk.top, e.chunk.done.encode(), std::move(live)}));
+  }
+  return {{"e", std::move(entries)}, {"w", page.mark}};
 }
 
-std::optional<Chunk> decode_chunk(const json& v) {
+std::optional<Page> decode_page(const json& v) {
   try {
-    Chunk c;
-    c.done = TaskSet::decode(v.at("done"));
-    for (const json& l : v.at("live"))
-      c.live.push_back({l.at(0).get<uint32_t>(), l.at(1).get<uint64_t>(),
-                        l.at(2).get<std::string>(), l.at(3).get<uint64_t>()});
-    v.at("top").get_to(c.top);
-    c.mark = v.value("w", "");
-    return c;
+    Page p;
+    for (const json& e : v.at("e")) {
+      PageEntry out;
+      e.at(0).get_to(out.job);
+      e.at(1).get_to(out.n);
+      e.at(2).get_to(out.chunk.top);
+      out.chunk.done = TaskSet::decode(e.at(3));
+      out.chunk.live.reserve(e.at(4).size());
+      for (const json& l : e.at(4))
+        out.chunk.live.push_back({l.at(0).get<uint32_t>(), l.at(1).get<uint64_t>(),
+                                  l.at(2).get<std::string>(), l.at(3).get<uint64_t>()});
+      p.entries.push_back(std::move(out));
+    }
+    p.mark = v.value("w", "");
+    return p;
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -4,11 +4,14 @@
 //   rd/leader        who leads; hangs on the leader's lease, its stamp is the token
 //   rd/types         machine sizes, so that every node decides 422 alike
 //   rd/j/<job>       a job: its description while open, its final state for ever
-//   rd/t/<job>/<n>   the tasks [n*per, (n+1)*per) of a job: which are done, which attempts may
-//                    be on which machine, the highest attempt number ever used
+//   rd/t/<n>         a page: chunks of several jobs' tasks. A chunk is the tasks [k*per, (k+1)*per)
+//                    of a job: which are done, which attempts may be on which machine, the
+//                    highest attempt number ever used
 //   rd/f/<n>         names of rented machines (the design's rented list)
 //
-// A job's tasks are chunked because jobs go to 100,000 tasks and a value has a size limit.
+// A job's tasks are chunked because jobs go to 100,000 tasks and a value has a size limit; chunks
+// share pages because the state service counts changed rows, not bytes: one row a job's start and
+// one more its end would be the whole rate of a large deployment.
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -30,7 +33,7 @@
 inline constexpr const char* kFleetPrefix = "rd/f/";
 
 std::string job_key(const std::string& job);
-std::string chunk_key(const std::string& job, uint32_t chunk);
+std::string page_key(uint32_t n);
 std::string fleet_key(uint32_t n);
 
 // Tasks of a chunk as sorted disjoint closed ranges.
@@ -59,6 +62,15 @@
   TaskSet done;
   std::vector<Live> live;
   uint64_t top = 0;  // highest attempt number used in this chunk
+};
+
+struct PageEntry {
+  std::string job;
+  uint32_t n = 0;
+  Chunk chunk;
+};
+struct Page {
+  std::vector<PageEntry> entries;
   std::string mark;  // names the transaction that wrote it
 };
 
@@ -73,13 +85,20 @@
   std::string mark;
 };
 
-// How many tasks a chunk takes so that its row fits a value of that many bytes.
+// How many tasks a chunk takes so that it fits a page of that many bytes, and what is set aside of
+// a page for a chunk of so many tasks. Both are estimates; encoded_size() is what decides.
 uint32_t tasks_per_chunk(size_t value_bytes);
+size_t chunk_reserve(const std::string& job, uint32_t tasks);
+// What a page may hold besides its frame.
+size_t page_room(size_t value_bytes);
+// At least the bytes that these take in a page.
+size_t encoded_size(const Live& live);
+size_t encoded_size(const std::string& job, const TaskSet& done);
 
 json encode(const JobRow& row);
-json encode(const Chunk& chunk);
+json encode(const Page& page);
 std::optional<JobRow> decode_job(const std::string& id, const json& v);
-std::optional<Chunk> decode_chunk(const json& v);
+std::optional<Page> decode_page(const json& v);
 
 json encode_types(const std::vector<TypeInfo>& types);
 std::vector<TypeInfo> decode_types(const json& v);
--- a/src/core/mirror.cpp
+++ b/src/core/mirror.cpp
@@ -13,14 +13,22 @@
 }
 }  // namespace
 
-bool Mirror::split_chunk_key(const std::string& key, std::string& job, uint32_t& chunk) {
-  const size_t from = std::string_view(ledger::kTaskPrefix).size();
-  const size_t slash = key.rfind('/');
-  if (slash == std::string::npos || slash <= from) return false;
-  job = key.substr(from, slash - from);
-  const char* end = key.data() + key.size();
-  auto [p, ec] = std::from_chars(key.data() + slash + 1, end, chunk);
-  return ec == std::errc() && p == end;
+void Mirror::put_page(uint32_t n, const nlohmann::json& value, uint64_t stamp) {
+  MirrorPage& page = pages_[n];
+  if (stamp <= page.stamp) return;
+  auto read = ledger::decode_page(value);
+  if (!read) {
+    spdlog::error("ledger: page {} cannot be read", n);
+    return;
+  }
+  page.stamp = stamp;
+  for (const auto& [id, k] : page.holds)
+    if (auto it = jobs_.find(id); it != jobs_.end()) it->second.chunks.erase(k);
+  page.holds.clear();
+  for (ledger::PageEntry& e : read->entries) {
+    page.holds.emplace_back(e.job, e.n);
+    jobs_[e.job].chunks[e.n] = {n, std::move(e.chunk)};
+  }
 }
 
 void Mirror::put(const std::string& key, const nlohmann::json& value, uint64_t stamp) {
@@ -37,18 +45,11 @@
     job.stamp = stamp;
     job.row = std::move(*row);
   } else if (starts_with(key, ledger::kTaskPrefix)) {
-    std::string id;
+    const std::string_view number =
+        std::string_view(key).substr(std::string_view(ledger::kTaskPrefix).size());
     uint32_t n = 0;
-    if (!split_chunk_key(key, id, n)) return;
-    MirrorChunk& chunk = jobs_[id].chunks[n];
-    if (stamp <= chunk.stamp) return;
-    auto c = ledger::decode_chunk(value);
-    if (!c) {
-      spdlog::error("ledger: row {} cannot be read", key);
-      return;
-    }
-    chunk.stamp = stamp;
-    chunk.chunk = std::move(*c);
+    auto [p, ec] = std::from_chars(number.data(), number.data() + number.size(), n);
+    if (ec == std::errc() && p == number.data() + number.size()) put_page(n, value, stamp);
   } else if (key == ledger::kLeaderKey) {
     if (stamp <= leader_stamp_) return;
     leader_stamp_ = stamp;
@@ -64,15 +65,7 @@
 }
 
 void Mirror::erase(const std::string& key, uint64_t stamp) {
-  if (starts_with(key, ledger::kTaskPrefix)) {
-    std::string id;
-    uint32_t n = 0;
-    if (!split_chunk_key(key, id, n)) return;
-    auto it = jobs_.find(id);
-    if (it == jobs_.end()) return;
-    auto c = it->second.chunks.find(n);
-    if (c != it->second.chunks.end() && c->second.stamp < stamp) it->second.chunks.erase(c);
-  } else if (key == ledger::kLeaderKey) {
+  if (key == ledger::kLeaderKey) {
     if (leader_stamp_ >= stamp) return;
     leader_.clear();
     leader_stamp_ = stamp;
@@ -80,7 +73,7 @@
     auto it = fleet_.find(key);
     if (it != fleet_.end() && it->second.first < stamp) fleet_.erase(it);
   }
-  // Job rows are never deleted: a final state must be kept.
+  // Job rows are never deleted, since a final state must be kept, nor are pages.
 }
 
 void Mirror::begin_reload() {
@@ -90,9 +83,6 @@
 
 void Mirror::end_reload() {
   reloading_ = false;
-  for (auto& [id, job] : jobs_)
-    for (auto c = job.chunks.begin(); c != job.chunks.end();)
-      c = seen_.count(ledger::chunk_key(id, c->first)) ? std::next(c) : job.chunks.erase(c);
   if (!seen_.count(ledger::kLeaderKey)) leader_.clear();
   for (auto f = fleet_.begin(); f != fleet_.end();)
     f = seen_.count(f->first) ? std::next(f) : fleet_.erase(f);
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -8,16 +8,23 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
+#include <vector>
 
 #include "core/ledger.h"
 
 namespace rookdyke {
 
 struct MirrorChunk {
-  uint64_t stamp = 0;
+  uint32_t page = 0;  // a chunk stays in its page for the whole life of its job
   ledger::Chunk chunk;
 };
 
+struct MirrorPage {
+  uint64_t stamp = 0;
+  std::vector<std::pair<std::string, uint32_t>> holds;  // (job, chunk)
+};
+
 struct MirrorJob {
   uint64_t stamp = 0;  // 0: only its chunks are known
   ledger::JobRow row;
@@ -48,12 +55,13 @@
   const std::vector<TypeInfo>& types() const { return types_; }
   uint64_t types_stamp() const { return types_stamp_; }
   const std::map<std::string, std::pair<uint64_t, nlohmann::json>>& fleet() const { return fleet_; }
+  const std::map<uint32_t, MirrorPage>& pages() const { return pages_; }
 
  private:
-  // Splits rd/t/<job>/<n>.
-  static bool split_chunk_key(const std::string& key, std::string& job, uint32_t& chunk);
+  void put_page(uint32_t n, const nlohmann::json& value, uint64_t stamp);
 
   std::unordered_map<std::string, MirrorJob> jobs_;
+  std::map<uint32_t, MirrorPage> pages_;
   std::string leader_;
   uint64_t leader_stamp_ = 0;
   std::vector<TypeInfo> types_;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -28,19 +28,38 @@
 constexpr double kPromptFirst = 1e6;
 // In seconds of age: how far the largest job stands back for small ones.
 constexpr double kMostStandingBack = 150;
+// A job of which nothing was started for this long goes before everything, whatever its class, rank
+// and size (nobody starves: the users' largest jobs have to begin within four minutes). An array
+// then gets a part of its tasks, and its turn begins anew.
+constexpr double kStarvedAfter = 120;
+constexpr uint32_t kStarvedLeast = 4;
+constexpr uint32_t kStarvedShare = 16;
+// A gang, or a task that takes this share of a machine, has machines set aside once it has waited
+// this long: freed bit by bit, room for it would always go to smaller work first.
+constexpr double kSetAsideAfter = 20;
+constexpr double kSetAsideSize = 0.3;
+constexpr double kSetAsideFor = 3;     // kept up from round to round while it waits
+constexpr double kSetAsideMost = 0.1;  // of all machines, for all jobs together
+// Room is made by stopping others no more often than this.
+constexpr double kPreemptEvery = 0.2;
 
 }  // namespace
 
-bool Core::guaranteed(const Job& job) const {
-  const TeamInfo* team = nullptr;
-  for (const TeamInfo& t : settings_.teams)
-    if (t.name == job.spec.team) team = &t;
-  if (!team || (team->cpus <= 0 && team->gpus <= 0)) return false;
-  Amounts all;
-  for (const auto& [i, j] : jobs_)
-    if (j->team == job.team && !j->over() && j->at_s <= job.at_s)
-      all += j->spec.each.times(j->tasks() - j->done_count);
-  return all.cpus <= team->cpus && all.gpus <= team->gpus;
+// What of each team's unfinished jobs, oldest first, fits within its guarantee.
+void Core::find_guaranteed() {
+  for (const TeamInfo& t : settings_.teams) {
+    if (t.cpus <= 0 && t.gpus <= 0) continue;
+    const Index team = team_names_.find(t.name);
+    std::vector<Job*> v;
+    for (const auto& job : jobs_)
+      if (job && job->team == team && !job->over()) v.push_back(job.get());
+    std::sort(v.begin(), v.end(), [](const Job* a, const Job* b) { return a->at_s < b->at_s; });
+    Amounts all;
+    for (Job* job : v) {
+      all += job->spec.each.times(job->tasks() - job->done_count);
+      job->guaranteed = all.cpus <= t.cpus && all.gpus <= t.gpus;
+    }
+  }
 }
 
 // The order among jobs of equal rank, smallest first. A class that is promised a prompt start goes
@@ -48,37 +67,43 @@
 // much work left stands back for small ones: of a queue that cannot all be in time, most are then.
 double Core::urgency(const Job& job, double now) const {
   const double age = now - job.seen_at;
-  double start = -1;
-  for (const Objective& o : settings_.objectives)
-    if (o.lot == job.spec.lot && o.start && o.within_s > age && (start < 0 || o.within_s < start))
-      start = o.within_s;
-  if (start >= 0) return start - age - kPromptFirst;
-  double share = 0;
-  for (const TypeInfo& t : types_) {
-    const double r = job.spec.each.share_of(t.size);
-    if (share == 0 || r < share) share = r;
-  }
-  const double left = (job.tasks() - job.done_count) * share * job.spec.estimate_s;
+  for (const double within : job.start_within)
+    if (within > age) return within - age - kPromptFirst;
+  const double left = (job.tasks() - job.done_count) * job.share * job.spec.estimate_s;
   return std::min(left * settings_.tuning.small_first, kMostStandingBack) - age;
 }
 
+bool Core::starved(const Job& job, double now) const {
+  return now - std::max(job.seen_at, job.last_start) > kStarvedAfter;
+}
+
 void Core::sort_jobs(double now) {
   struct Entry {
-    bool guaranteed;
+    bool starved, guaranteed;
     Rank rank;
     double urgency;
     Index job;
   };
+  find_guaranteed();
   std::vector<Entry> v;
-  const bool any_guarantee =
-      std::any_of(settings_.teams.begin(), settings_.teams.end(),
-                  [](const TeamInfo& t) { return t.cpus > 0 || t.gpus > 0; });
-  for (const auto& [i, job] : jobs_)
-    if (!job->over())
-      v.push_back({any_guarantee && guaranteed(*job), job->spec.rank, urgency(*job, now), i});
+  least_ = {1e18, 1e18, 1e18};
+  for (const auto& job : jobs_) {
+    if (!job || job->state != JobState::open || job->waiting.empty() || job->stale() ||
+        now < job->not_before)
+      continue;
+    const bool late = starved(*job, now);
+    v.push_back({late, job->guaranteed, job->spec.rank,
+                 late ? std::max(job->seen_at, job->last_start) : urgency(*job, now), job->id});
+    least_.cpus = std::min(least_.cpus, job->spec.each.cpus);
+    least_.gpus = std::min(least_.gpus, job->spec.each.gpus);
+    least_.mem = std::min(least_.mem, job->spec.each.mem);
+  }
   std::sort(v.begin(), v.end(), [](const Entry& a, const Entry& b) {
-    if (a.guaranteed != b.guaranteed) return a.guaranteed;
-    if (a.rank != b.rank) return a.rank > b.rank;
+    if (a.starved != b.starved) return a.starved;
+    if (!a.starved) {
+      if (a.guaranteed != b.guaranteed) return a.guaranteed;
+      if (a.rank != b.rank) return a.rank > b.rank;
+    }
     return std::tie(a.urgency, a.job) < std::tie(b.urgency, b.job);
   });
   order_.clear();
@@ -111,19 +136,24 @@
   return !job.spec.scatter || here + more <= (job.tasks() + 1) / 2;
 }
 
+// Whether anything new may be placed there at all: what does not depend on the job.
+bool Core::takes_work(const Machine& m, double now) const {
+  if (!m.usable() || m.type == kNone || now < m.suspect_until) return false;
+  // A machine that missed a report may be gone already.
+  return now - m.last_report <= 1.7 * settings_.report_s;
+}
+
+// Whether the job may run there; of machines that take work.
 bool Core::may_run(const Job& job, const Machine& m, double now) const {
-  if (!m.usable() || m.strays || m.type == kNone) return false;
   if (!job.types.empty() && !job.types[m.type]) return false;
   if (m.spot && !job.spec.spot) return false;
-  if (now < m.suspect_until) return false;
+  if (job.zone != kNone && m.zone != job.zone) return false;
   if (m.reserved_for != kNone && m.reserved_for != job.id && now < m.reserved_until) return false;
   if (!m.unanswered.empty() &&
       std::any_of(m.unanswered.begin(), m.unanswered.end(),
                   [&](const auto& u) { return std::get<0>(u) == job.spec.id; }))
     return false;  // it still lists an older attempt, which must not be cleared
-  if (job.erred_on.count(m.index) && job.erred_on.size() < 3) return false;
-  // A machine that missed a report may be gone already.
-  return now - m.last_report <= 1.7 * settings_.report_s;
+  return !(job.erred_on.count(m.index) && job.erred_on.size() < 3);
 }
 
 double Core::score(const Job& job, const Machine& m) const {
@@ -131,15 +161,18 @@
   double s = 0;
   if (!m.images.count(job.image)) {
     const double fetch = job.spec.image_gb / std::max(0.01, type.fetch_gb_per_s);
-    std::set<Index> under_way;
+    bool same = false;
+    size_t others = 0;
+    Index last = kNone;
     for (const auto& [j, t] : m.tasks) {
-      const Job& other = *jobs_.at(j);
-      const AttemptState st = other.attempts.at(t).state;
-      if (st <= AttemptState::pulling && !m.images.count(other.image))
-        under_way.insert(other.image);
+      const Job& other = *jobs_[j];
+      if (other.attempts.at(t).state > AttemptState::pulling || m.images.count(other.image))
+        continue;
+      same = same || other.image == job.image;
+      others += other.image != last;  // tasks of a job come together, so this counts images
+      last = other.image;
     }
-    s += under_way.count(job.image) ? 0.5 * fetch
-                                    : fetch * (1.0 + static_cast<double>(under_way.size()));
+    s += same ? 0.5 * fetch : fetch * (1.0 + static_cast<double>(others));
   }
   if (job.spec.spot && !m.spot) s += kSpotPreference;
   if (!job.prompt)
@@ -150,24 +183,67 @@
   return s + kPackPreference * (1 - filled);
 }
 
-Index Core::choose(const Job& job, double now, Index zone_only) const {
-  Index best = kNone;
-  double best_score = 0;
-  for (const auto& mp : machines_) {
-    const Machine& m = *mp;
-    if (m.state != MachineState::ready || !may_run(job, m, now)) continue;
-    if (zone_only != kNone && m.zone != zone_only) continue;
-    if (!zone_allows(job, m.zone, 1)) continue;
+// The machines that take work and have room for the smallest waiting task: looked for once a round.
+void Core::gather_open(double now) {
+  open_.clear();
+  full_.clear();
+  for (const auto& m : machines_) {
+    if (m->state != MachineState::ready || !takes_work(*m, now)) continue;
+    if (room_of(*m) >= 1) open_.push_back(m->index);
+  }
+}
+
+// How many of the smallest waiting tasks it holds yet; 0 or 1 is all that is asked.
+int Core::room_of(const Machine& m) const {
+  Amounts room = types_[m.type].size;
+  room -= m.used;
+  return least_.fits(room) ? 1 : 0;
+}
+
+// Whether a search in this round has shown already that there is no room for it.
+bool Core::known_full(const Job& job, uint32_t count) const {
+  return std::any_of(full_.begin(), full_.end(), [&](const Full& f) {
+    return job.zone == f.zone && job.spec.spot == f.spot && job.types == f.types &&
+           job.spec.one_zone == f.one_zone && count >= f.count &&
+           f.each.cpus <= job.spec.each.cpus + 1e-9 && f.each.gpus <= job.spec.each.gpus + 1e-9 &&
+           f.each.mem <= job.spec.each.mem + 1e-9;
+  });
+}
+
+// All places for tasks of the job, cheapest first: one search serves all of its waiting tasks.
+std::vector<Core::Place> Core::places(const Job& job, double now, bool* is_special) {
+  std::vector<Place> out;
+  bool special = job.spec.scatter || !job.attempts.empty() || !job.erred_on.empty();
+  for (size_t k = 0; k < open_.size();) {
+    const Machine& m = *machines_[open_[k]];
+    if (room_of(m) == 0) {  // filled up in this round
+      open_[k] = open_.back();
+      open_.pop_back();
+      continue;
+    }
+    ++k;
+    ++work_.machines_looked_at;
+    // What holds for this job alone must not tell other jobs that there is no room.
+    special = special || m.reserved_for != kNone || !m.unanswered.empty();
+    if (!may_run(job, m, now)) continue;
     Amounts room = types_[m.type].size;
     room -= m.used;
-    if (!job.spec.each.fits(room)) continue;
-    const double s = score(job, m);
-    if (best == kNone || s < best_score) {
-      best = m.index;
-      best_score = s;
+    uint32_t slots = 0;
+    while (slots < job.waiting.size() && job.spec.each.fits(room)) {
+      room -= job.spec.each;
+      ++slots;
     }
+    if (slots == 0) continue;
+    if (!zone_allows(job, m.zone, 1)) continue;
+    out.push_back({score(job, m), m.index, slots});
   }
-  return best;
+  std::sort(out.begin(), out.end(), [](const Place& a, const Place& b) {
+    return std::tie(a.score, a.machine) < std::tie(b.score, b.machine);
+  });
+  if (is_special) *is_special = special;
+  if (out.empty() && !special)
+    full_.push_back({job.spec.each, job.zone, job.types, job.spec.spot, job.spec.one_zone, 1});
+  return out;
 }
 
 void Core::propose(Job& job, uint32_t task, uint64_t number, Index mi, double now) {
@@ -178,26 +254,39 @@
   a.machine = mi;
   a.session = m.session;
   a.since = now;
+  a.shielded = starved(job, now);
   job.attempts[task] = a;
   job.waiting.erase(task);
+  ++job.proposed;
   job.top = std::max(job.top, number);
   m.tasks.emplace_back(job.id, task);
   m.used += job.spec.each;
   team_used_[job.team] += job.spec.each;
-  mark_dirty(job, task);
+  mark_dirty(job, task, true, now);
   spdlog::debug("task {}/{} attempt {}: proposed for {}", job.spec.id, task, number, m.name);
 }
 
 bool Core::place_array(Job& job, double now, int& budget) {
+  if (!within_limit(job, 1)) return true;  // its own limit, not the machines, holds it back
+  if (known_full(job, 1)) return false;
   const uint64_t number = job.top + 1;
-  while (!job.waiting.empty() && budget > 0) {
-    if (!within_limit(job, 1)) return true;  // its own limit, not the machines, holds it back
-    const Index m = choose(job, now, kNone);
-    if (m == kNone) return false;
-    propose(job, *job.waiting.begin(), number, m, now);
-    --budget;
+  const bool late = starved(job, now);
+  uint32_t most = late ? std::max(kStarvedLeast, job.tasks() / kStarvedShare) : UINT32_MAX;
+  size_t began = 0;
+  for (const Place& p : places(job, now)) {
+    for (uint32_t k = 0; k < p.slots && budget > 0 && most > 0; ++k) {
+      if (job.waiting.empty() || !within_limit(job, 1)) break;
+      if (job.spec.scatter && !zone_allows(job, machines_[p.machine]->zone, 1)) break;
+      if (job.spec.one_zone && !zone_allows(job, machines_[p.machine]->zone, 1)) break;
+      propose(job, *job.waiting.begin(), number, p.machine, now);
+      --budget;
+      --most;
+      ++began;
+    }
+    if (job.waiting.empty() || budget <= 0 || most == 0 || !within_limit(job, 1)) break;
   }
-  return true;
+  if (began > 0) job.last_start = now;
+  return job.waiting.empty() || budget <= 0 || most == 0 || !within_limit(job, 1);
 }
 
 bool Core::place_gang(Job& job, double now, int& budget) {
@@ -208,57 +297,62 @@
     for (const auto& [t, a] : job.attempts)
       if (a.state == AttemptState::ended || a.number != number) return true;
     if (!still_gathers(job)) return true;
-    while (!job.waiting.empty() && within_limit(job, 1)) {
-      const Index m = choose(job, now, kNone);
-      if (m == kNone) return false;
-      propose(job, *job.waiting.begin(), number, m, now);
-      --budget;
-    }
-    return true;
+    for (const Place& p : places(job, now))
+      for (uint32_t k = 0; k < p.slots && !job.waiting.empty() && within_limit(job, 1); ++k) {
+        if (!zone_allows(job, machines_[p.machine]->zone, 1)) break;
+        propose(job, *job.waiting.begin(), number, p.machine, now);
+        --budget;
+      }
+    return job.waiting.empty() || !within_limit(job, 1);
   }
   if (!within_limit(job, job.tasks())) return true;
-  std::vector<Index> zones{kNone};
+  if (known_full(job, job.tasks())) return false;
+  // All or none: the cheapest places, in the zone whose dearest one is cheapest.
+  bool special = false;
+  const std::vector<Place> all = places(job, now, &special);
+  const uint32_t n = job.tasks();
+  std::vector<Index> zones{kNone}, best;
   if (job.spec.one_zone) {
     zones.clear();
     for (Index z = 0; z < zone_names_.size(); ++z) zones.push_back(z);
   }
-  const uint64_t number = job.top + 1;
-  const std::vector<uint32_t> tasks(job.waiting.begin(), job.waiting.end());
-  struct Best {
-    double score = 0;
-    std::vector<Index> machines;
-  } best;
+  double best_score = 0;
   for (Index z : zones) {
-    // All or none: tried on the books, taken back if it does not work out.
     std::vector<Index> got;
+    std::map<Index, uint32_t> in_zone;
     double worst = 0;
-    for (uint32_t t : tasks) {
-      const Index m = choose(job, now, z);
-      if (m == kNone) break;
-      worst = std::max(worst, score(job, *machines_[m]));
-      got.push_back(m);
-      Attempt a;
-      a.task = t;
-      a.machine = m;
-      job.attempts[t] = a;
-      machines_[m]->used += job.spec.each;
+    for (const Place& p : all) {
+      const Index zone = machines_[p.machine]->zone;
+      if (z != kNone && zone != z) continue;
+      for (uint32_t k = 0; k < p.slots && got.size() < n; ++k) {
+        if (job.spec.scatter && in_zone[zone] >= (n + 1) / 2) break;
+        ++in_zone[zone];
+        got.push_back(p.machine);
+        worst = p.score;
+      }
+      if (got.size() == n) break;
     }
-    for (size_t i = 0; i < got.size(); ++i) {
-      machines_[got[i]]->used -= job.spec.each;
-      job.attempts.erase(tasks[i]);
+    if (got.size() == n && (best.empty() || worst < best_score)) {
+      best = std::move(got);
+      best_score = worst;
     }
-    if (got.size() == tasks.size() && (best.machines.empty() || worst < best.score))
-      best = {worst, std::move(got)};
   }
-  if (best.machines.empty()) return false;
-  for (size_t i = 0; i < tasks.size(); ++i) propose(job, tasks[i], number, best.machines[i], now);
+  if (best.empty()) {
+    if (!special)
+      full_.push_back({job.spec.each, job.zone, job.types, job.spec.spot, job.spec.one_zone, n});
+    return false;
+  }
+  const uint64_t number = job.top + 1;
+  const std::vector<uint32_t> tasks(job.waiting.begin(), job.waiting.end());
+  for (size_t i = 0; i < tasks.size(); ++i) propose(job, tasks[i], number, best[i], now);
   budget -= static_cast<int>(tasks.size());
+  job.last_start = now;
   return true;
 }
 
 bool Core::may_stop(const Job& job, const Job& victim) const {
   if (victim.spec.rank < job.spec.rank) return true;
-  if (victim.team == job.team || !guaranteed(job)) return false;
+  if (victim.team == job.team || !job.guaranteed) return false;
   for (const TeamInfo& t : settings_.teams)
     if (t.name == victim.spec.team) {
       const Amounts& used = team_used_[victim.team];
@@ -267,7 +361,58 @@
   return false;
 }
 
-// Makes room for one task of the job where the least work is lost by it.
+// Where room for one task of the job could be made, where the least work is lost by it first.
+std::vector<Core::Eviction> Core::evictions(const Job& job, double now) {
+  std::vector<Eviction> out;
+  struct Victim {
+    double cost;
+    Index job;
+    uint32_t task;
+  };
+  std::vector<Victim> victims;
+  for (const auto& mp : machines_) {
+    const Machine& m = *mp;
+    if (m.state != MachineState::ready || !takes_work(m, now) || !may_run(job, m, now)) continue;
+    if (m.reserved_for != kNone || !zone_allows(job, m.zone, 1)) continue;
+    ++work_.machines_looked_at;
+    Amounts room = types_[m.type].size;
+    room -= m.used;
+    victims.clear();
+    for (const auto& [j, t] : m.tasks) {
+      const Job& v = *jobs_[j];
+      const Attempt& a = v.attempts.at(t);
+      if (a.stop) {
+        room += v.spec.each;  // it is leaving anyway
+        continue;
+      }
+      if (a.state == AttemptState::proposed || a.shielded || v.gang() || !may_stop(job, v))
+        continue;
+      double lost = 0;
+      if (a.state == AttemptState::running)
+        lost = v.spec.checkpoint_s > 0 ? 1 + v.spec.save_s : 5 + now - a.running_since;
+      victims.push_back({lost, j, t});
+    }
+    std::sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
+      return std::tie(a.cost, a.job, a.task) < std::tie(b.cost, b.job, b.task);
+    });
+    Eviction e{0, m.index, {}};
+    for (const Victim& v : victims) {
+      if (job.spec.each.fits(room)) break;
+      room += jobs_[v.job]->spec.each;
+      e.cost += v.cost;
+      e.victims.emplace_back(v.job, v.task);
+    }
+    if (!job.spec.each.fits(room)) continue;
+    if (!m.images.count(job.image)) e.cost += 2;
+    out.push_back(std::move(e));
+  }
+  std::sort(out.begin(), out.end(), [](const Eviction& a, const Eviction& b) {
+    return std::tie(a.cost, a.machine) < std::tie(b.cost, b.machine);
+  });
+  return out;
+}
+
+// Makes room for the job's tasks: for a gang for all or for none.
 void Core::preempt_for(Job& job, double now) {
   // Room that is being made already is not made twice.
   uint32_t pending = 0;
@@ -275,87 +420,134 @@
     if (m->reserved_for == job.id && now < m->reserved_until) ++pending;
   const uint32_t wanted = static_cast<uint32_t>(
       job.gang() ? job.waiting.size() : std::min<size_t>(job.waiting.size(), 8));
-  while (pending < wanted) {
-    Index best = kNone;
-    double best_cost = 0;
-    std::vector<std::pair<Index, uint32_t>> best_victims;
-    for (const auto& mp : machines_) {
-      const Machine& m = *mp;
-      if (m.state != MachineState::ready || !may_run(job, m, now)) continue;
-      if (m.reserved_for != kNone && now < m.reserved_until) continue;
-      if (!zone_allows(job, m.zone, 1)) continue;
-      Amounts room = types_[m.type].size;
-      room -= m.used;
-      struct Victim {
-        double cost;
-        Index job;
-        uint32_t task;
-      };
-      std::vector<Victim> victims;
-      for (const auto& [j, t] : m.tasks) {
-        const Job& v = *jobs_.at(j);
-        const Attempt& a = v.attempts.at(t);
-        if (a.stop) {
-          room += v.spec.each;  // it is leaving anyway
-          continue;
-        }
-        if (a.state == AttemptState::proposed || v.gang() || !may_stop(job, v)) continue;
-        double lost = 0;
-        if (a.state == AttemptState::running)
-          lost = v.spec.checkpoint_s > 0 ? 1 + v.spec.save_s : 5 + now - a.running_since;
-        victims.push_back({lost, j, t});
-      }
-      std::sort(victims.begin(), victims.end(),
-                [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
-      double cost = 0;
-      std::vector<std::pair<Index, uint32_t>> chosen;
-      for (const Victim& v : victims) {
-        if (job.spec.each.fits(room)) break;
-        room += jobs_.at(v.job)->spec.each;
-        cost += v.cost;
-        chosen.emplace_back(v.job, v.task);
+  if (pending >= wanted || !within_limit(job, 1)) return;
+  const uint32_t more = wanted - pending;
+  if (std::any_of(hopeless_.begin(), hopeless_.end(), [&](const Hopeless& h) {
+        return h.rank == job.spec.rank && !job.guaranteed && h.zone == job.zone &&
+               h.spot == job.spec.spot && h.one_zone == job.spec.one_zone && h.types == job.types &&
+               more >= h.more && h.share <= job.share + 1e-9;
+      }))
+    return;
+  std::vector<Eviction> all = evictions(job, now);
+  if (job.spec.one_zone && job.gang() && job.attempts.empty()) {
+    std::map<Index, uint32_t> found;
+    Index zone = kNone;
+    for (const Eviction& e : all)  // cheapest first: the first zone that has enough
+      if (++found[machines_[e.machine]->zone] == more) {
+        zone = machines_[e.machine]->zone;
+        break;
       }
-      if (!job.spec.each.fits(room)) continue;
-      if (!m.images.count(job.image)) cost += 2;
-      if (best == kNone || cost < best_cost) {
-        best = m.index;
-        best_cost = cost;
-        best_victims = std::move(chosen);
-      }
-    }
-    if (best == kNone) return;
-    Machine& m = *machines_[best];
+    std::erase_if(all, [&](const Eviction& e) { return machines_[e.machine]->zone != zone; });
+  }
+  if (all.empty() || (job.gang() && all.size() < more)) {
+    hopeless_.push_back({job.spec.rank, job.zone, job.types, job.spec.spot, job.spec.one_zone,
+                         job.gang() ? more : 1, job.share});
+    return;
+  }
+  for (size_t k = 0; k < std::min<size_t>(more, all.size()); ++k) {
+    Machine& m = *machines_[all[k].machine];
     m.reserved_for = job.id;
     m.reserved_until = now + kReserve;
-    for (const auto& [j, t] : best_victims) {
-      Job& v = *jobs_.at(j);
+    for (const auto& [j, t] : all[k].victims) {
+      Job& v = *jobs_[j];
       stop_attempt(v, v.attempts.at(t), v.spec.checkpoint_s > 0 ? v.spec.save_s + kGraceMargin : 0);
     }
-    if (!best_victims.empty())
-      spdlog::info("job {}: {} tasks on {} stopped to make room", job.spec.id, best_victims.size(),
-                   m.name);
-    ++pending;
+    if (!all[k].victims.empty())
+      spdlog::info("job {}: {} tasks on {} stopped to make room", job.spec.id,
+                   all[k].victims.size(), m.name);
+  }
+}
+
+// When room for one task of the job will come of itself, by the owners' estimates.
+double Core::frees_at(const Job& job, const Machine& m, double now) const {
+  Amounts room = types_[m.type].size;
+  room -= m.used;
+  if (job.spec.each.fits(room)) return now;
+  std::vector<std::pair<double, const Job*>> ends;
+  for (const auto& [j, t] : m.tasks) {
+    const Job& other = *jobs_[j];
+    const Attempt& a = other.attempts.at(t);
+    const double since = a.state == AttemptState::running ? a.running_since : now;
+    ends.emplace_back(a.stop ? now : std::max(since + other.spec.estimate_s, now + 3), &other);
+  }
+  std::sort(ends.begin(), ends.end());
+  for (const auto& [at, other] : ends) {
+    room += other->spec.each;
+    if (job.spec.each.fits(room)) return at;
+  }
+  return 1e18;
+}
+
+// Keeps machines together for a job that has waited: nothing else is begun on them, nothing of
+// equal or higher priority is stopped. The most urgent jobs come first, so the first one always
+// gets on.
+void Core::set_aside(Job& job, double now) {
+  if (now - std::max(job.seen_at, job.last_start) < kSetAsideAfter) return;
+  if (!job.gang() && job.share < kSetAsideSize) return;
+  if (job.gang() && !job.attempts.empty()) return;
+  const size_t wanted = job.gang() ? job.waiting.size() : 1;
+  size_t have = 0;
+  for (auto& m : machines_)
+    if (m->reserved_for == job.id && takes_work(*m, now)) {
+      m->reserved_until = std::max(m->reserved_until, now + kSetAsideFor);
+      ++have;
+    }
+  aside_ += have;
+  if (have >= wanted || now < job.set_aside_at) return;
+  if (aside_ + wanted - have > std::max<size_t>(2, static_cast<size_t>(kSetAsideMost * ready_)) &&
+      aside_ > 0)
+    return;
+  job.set_aside_at = now + 1;
+  std::vector<std::pair<double, Index>> all;
+  for (const auto& m : machines_) {
+    if (m->state != MachineState::ready || !takes_work(*m, now) || !may_run(job, *m, now)) continue;
+    if (m->reserved_for != kNone || !zone_allows(job, m->zone, 1)) continue;
+    ++work_.machines_looked_at;
+    if (const double at = frees_at(job, *m, now); at < 1e18) all.emplace_back(at, m->index);
+  }
+  std::sort(all.begin(), all.end());
+  if (job.spec.one_zone && job.gang()) {
+    std::map<Index, size_t> found;
+    for (const auto& m : machines_)
+      if (m->reserved_for == job.id) ++found[m->zone];
+    Index zone = found.empty() ? kNone : found.begin()->first;
+    for (size_t k = 0; zone == kNone && k < all.size(); ++k)
+      if (++found[machines_[all[k].second]->zone] == wanted) zone = machines_[all[k].second]->zone;
+    std::erase_if(all, [&](const auto& e) { return machines_[e.second]->zone != zone; });
+  }
+  if (all.size() < wanted - have) return;
+  for (size_t k = 0; k < wanted - have; ++k) {
+    Machine& m = *machines_[all[k].second];
+    m.reserved_for = job.id;
+    m.reserved_until = now + kSetAsideFor;
+    ++aside_;
+    spdlog::debug("machine {} is set aside for job {}", m.name, job.spec.id);
   }
 }
 
 void Core::place(double now) {
   sort_jobs(now);
   int budget = kBatch + static_cast<int>(backlog() / 8);
-  for (auto& m : machines_)
-    if (m->reserved_for != kNone) {
-      auto it = jobs_.find(m->reserved_for);
-      if (now >= m->reserved_until || it == jobs_.end() || it->second->waiting.empty())
-        m->reserved_for = kNone;
-    }
+  aside_ = 0;
+  ready_ = 0;
+  for (auto& m : machines_) {
+    if (m->state == MachineState::ready) ++ready_;
+    if (m->reserved_for == kNone) continue;
+    const Job* job = find(m->reserved_for);
+    if (now >= m->reserved_until || !job || job->waiting.empty()) m->reserved_for = kNone;
+  }
+  gather_open(now);
+  hopeless_.clear();
+  const bool preempt = now >= preempt_at_;
+  if (preempt) preempt_at_ = now + kPreemptEvery;
   for (Index i : order_) {
     if (budget <= 0) break;
-    auto it = jobs_.find(i);
-    if (it == jobs_.end()) continue;
-    Job& job = *it->second;
-    if (job.state != JobState::open || job.waiting.empty() || job.stale || now < job.not_before)
-      continue;
+    Job& job = *jobs_[i];
+    ++work_.jobs_looked_at;
     const bool placed = job.gang() ? place_gang(job, now, budget) : place_array(job, now, budget);
-    if (!placed) preempt_for(job, now);
+    if (placed || !preempt) continue;
+    preempt_for(job, now);
+    set_aside(job, now);
   }
 }
 
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -36,18 +36,23 @@
 }  // namespace
 
 void Core::learn(Machine& m, const Report& r, double now) {
-  if (m.addr != r.addr) m.addr = r.addr;
-  m.type = type_names_.find(r.type);
-  m.zone = zone_names_.intern(r.zone);
-  m.spot = r.spot;
   if (!m.heard) {
+    m.addr = r.addr;
+    m.type = type_names_.find(r.type);
+    m.zone = zone_names_.intern(r.zone);
+    m.spot = r.spot;
     m.heard = true;
+    m.mute = 0;
+    m.mute_since = -1;
     spdlog::debug("machine {} reports for the first time, {:.1f} s after it was hired or met",
                   m.name, now - m.hired_at);
   }
   m.was_up = true;
   m.last_report = now;
-  if (m.session != r.session) m.unanswered.clear();  // a direct order names its session
+  if (m.session != r.session) {
+    m.unanswered.clear();  // a direct order names its session
+    m.owed.clear();
+  }
   m.session = r.session;
   m.seq = r.seq;
   if (m.state == MachineState::booting) set_state(m, MachineState::ready, "its worker reports");
@@ -120,7 +125,7 @@
   }
   m.recall_at = now + notice_s;
   for (const auto& [j, t] : m.tasks) {
-    Job& job = *jobs_.at(j);
+    Job& job = *jobs_[j];
     Attempt& a = job.attempts.at(t);
     const bool can_save = job.spec.checkpoint_s > 0 && a.state == AttemptState::running;
     if (can_save) {
@@ -148,35 +153,71 @@
     reply.verdict = ReportReply::Verdict::old;
     return reply;
   }
+  if (r.token < token_) {
+    // Invariant 7: sent before its worker had seen our token, so perhaps long ago, and perhaps a
+    // copy: it proves nothing, shows no life, and is answered with the token alone. A worker that
+    // takes that up reports again within half a second.
+    if (std::make_pair(r.session, r.seq) > std::make_pair(m.mute_session, m.mute_seq)) {
+      m.mute_session = r.session;
+      m.mute_seq = r.seq;
+      if (m.mute++ == 0) m.mute_since = now;
+      if (m.addr.empty()) m.addr = r.addr;
+    }
+    return reply;
+  }
+  // It lost its lease although we answered it all along: our answers do not reach it.
+  if (m.heard && r.session > m.session && now - m.last_report < 0.6 * settings_.lease_s)
+    m.unheeded = kUnheeded;
   // Invariant 3, "its tenure rose": the worker killed everything of earlier sessions.
   const auto here = m.tasks;
   for (const auto& [j, t] : here) {
-    Job& job = *jobs_.at(j);
+    Job& job = *jobs_[j];
     if (auto a = job.attempts.find(t); a != job.attempts.end() && a->second.session < r.session)
       end_attempt(job, t, Cause::none, now, "the worker's session rose");
   }
   const size_t busy = m.tasks.size();
   const bool known = m.heard;
   learn(m, r, now);
+  heed(m, r);
   if (r.notice_s >= 0) recall(m, r.notice_s, now);
   orders_for(m, r, reply, now);
   if (!known || m.tasks.size() < busy) eager_ = true;
   return reply;
 }
 
+// A machine whose reports arrive while nothing that we say reaches it shows by them that what their
+// predecessors were answered was never taken up. Silence is not asked for: it has none.
+void Core::heed(Machine& m, const Report& r) {
+  if (m.owed.empty()) return;
+  size_t taken = 0;
+  for (const auto& [verb, job, task, attempt] : m.owed) {
+    const TaskReport* t = nullptr;
+    for (const TaskReport& x : r.tasks)
+      if (x.task == task && x.attempt == attempt && x.job == job) t = &x;
+    const bool done = verb == Verb::run     ? t != nullptr
+                      : verb == Verb::clear ? t == nullptr
+                                            : !t || t->seen >= Seen::saving;
+    taken += done;
+  }
+  m.owed.clear();
+  if (taken > 0) {
+    if (m.unreachable()) spdlog::info("machine {}: our answers reach it again", m.name);
+    m.unheeded = 0;
+  } else if (++m.unheeded == kUnheeded) {
+    spdlog::info("machine {} takes up nothing of what it is answered", m.name);
+  }
+}
+
 // Takes over what the report says of each task; collects the orders its list calls for.
 void Core::take_list(Machine& m, const Report& r, std::vector<Order>* stops,
-                     std::vector<Order>* clears, std::set<std::pair<Index, uint32_t>>& listed,
-                     double now) {
+                     std::vector<Order>* clears, Listed& listed, double now) {
   m.strays = false;
   for (const TaskReport& t : r.tasks) {
-    const Index j = job_names_.find(t.job);
-    auto it = j == kNone ? jobs_.end() : jobs_.find(j);
+    Job* job = find(job_names_.find(t.job));
     Attempt* a = nullptr;
-    if (it != jobs_.end()) {
-      auto f = it->second->attempts.find(t.task);
-      if (f != it->second->attempts.end() && f->second.number == t.attempt &&
-          machines_[f->second.machine].get() == &m)
+    if (job) {
+      auto f = job->attempts.find(t.task);
+      if (f != job->attempts.end() && f->second.number == t.attempt && f->second.machine == m.index)
         a = &f->second;
     }
     if (!a) {
@@ -189,13 +230,13 @@
       }
       continue;
     }
-    const Index job_index = it->second->id;
-    listed.insert({job_index, t.task});
-    take_task(m, *it->second, *a, t, now);  // may drop the job when it is over
-    auto still = jobs_.find(job_index);
-    if (still == jobs_.end()) continue;
-    auto f = still->second->attempts.find(t.task);
-    if (f == still->second->attempts.end() || f->second.number != t.attempt) continue;
+    const Index job_index = job->id;
+    listed.emplace_back(job_index, t.task);
+    take_task(m, *job, *a, t, now);  // may drop the job when it is over
+    job = find(job_index);
+    if (!job) continue;
+    auto f = job->attempts.find(t.task);
+    if (f == job->attempts.end() || f->second.number != t.attempt) continue;
     Attempt& now_a = f->second;
     if (now_a.state == AttemptState::ended || !now_a.stop || !stops) continue;
     if (now_a.state != AttemptState::saving || now_a.grace_s <= 0)
@@ -206,38 +247,35 @@
 // Whether its start may be ordered: durable, wanted, and for a gang all of it durable.
 bool Core::may_order(const Job& job, const Attempt& a) const {
   if (a.state != AttemptState::placed || a.stop || job.over()) return false;
-  return !job.gang() || std::none_of(job.attempts.begin(), job.attempts.end(), [](const auto& e) {
-    return e.second.state == AttemptState::proposed;
-  });
+  return !job.gang() || job.proposed == 0;
 }
 
 void Core::orders_for(Machine& m, const Report& r, ReportReply& reply, double now) {
-  // A worker that has seen our token executes no older order any more; only then does its
-  // silence about a task mean anything (invariant 3).
-  const bool binding = r.token == token_;
-  std::set<std::pair<Index, uint32_t>> listed;
+  // The worker has seen our token (on_report), so it executes no older order any more; only then
+  // does its silence about a task mean anything (invariant 3).
+  Listed listed;
   std::vector<Order> stops, clears, runs;
   take_list(m, r, &stops, &clears, listed, now);
   const auto here = m.tasks;
   for (const auto& [j, t] : here) {
-    if (listed.count({j, t})) continue;
-    Job& job = *jobs_.at(j);
+    if (std::find(listed.begin(), listed.end(), std::make_pair(j, t)) != listed.end()) continue;
+    Job& job = *jobs_[j];
     Attempt& a = job.attempts.at(t);
     if (a.state == AttemptState::proposed) continue;
     if (a.state != AttemptState::placed) {
       // Reported before and not any more: it left without a word of ours.
-      if (binding) end_attempt(job, t, Cause::none, now, "its worker no longer lists it");
+      end_attempt(job, t, Cause::none, now, "its worker no longer lists it");
       continue;
     }
     if (a.stop) {
       if (a.direct) {
         // A direct `run` may still be executed. Ordered here and stopped at once, the attempt is
         // listed as exited, and the late copy finds it there and has no effect.
-        if (binding && !m.direct_in_flight) {
+        if (!m.direct_in_flight) {
           runs.push_back({Verb::run, job.spec.id, t, a.number, 0});
           runs.push_back({Verb::stop, job.spec.id, t, a.number, 0});
         }
-      } else if (binding) {
+      } else {
         // Never ordered by us, or ordered in the answer to an earlier report, which this one
         // settles: the worker either executed it or dropped the answer.
         end_attempt(job, t, Cause::none, now, "not there, and no order for it is left");
@@ -253,6 +291,31 @@
   for (auto* list : {&clears, &stops, &runs})
     reply.orders.insert(reply.orders.end(), list->begin(), list->end());
   if (reply.orders.size() > 400) reply.orders.resize(400);  // 64 KiB; the rest rides next time
+  for (const Order& o : reply.orders) m.owed.emplace_back(o.verb, o.job, o.task, o.attempt);
+}
+
+// Workers stay with the controller that answers them: a deposed leader that is cut from its
+// siblings and the state service, but not from its workers, would keep them. A direct call, if only
+// with our token, makes their next report to it carry the news.
+std::optional<Direct> Core::introduction(double now) {
+  const double wait = 1.3 * settings_.report_s + 1.5;
+  if (now - started_ < wait || now < introduce_at_) return std::nullopt;
+  for (const auto& mp : machines_) {
+    Machine& m = *mp;
+    if (m.heard || m.addr.empty() || m.direct_in_flight || m.introductions >= 3) continue;
+    if (m.state != MachineState::booting || now < m.introduce_at) continue;
+    if (!m.was_up && m.mute == 0) continue;
+    ++m.introductions;
+    m.introduce_at = now + 3;
+    m.direct_in_flight = true;
+    Direct d;
+    d.machine = m.index;
+    d.addr = m.addr;
+    d.session = std::max<uint64_t>(1, m.session);
+    return d;
+  }
+  introduce_at_ = now + 0.5;
+  return std::nullopt;
 }
 
 std::optional<Direct> Core::next_direct(double now) {
@@ -265,7 +328,9 @@
       continue;
     }
     it = direct_.erase(it);
-    if (!m.heard || m.addr.empty() || now - m.last_report > 1.7 * settings_.report_s) continue;
+    if (!m.heard || m.unreachable() || m.addr.empty() ||
+        now - m.last_report > 1.7 * settings_.report_s)
+      continue;
     if (m.state != MachineState::ready && m.state != MachineState::draining) continue;
     Direct d;
     d.machine = m.index;
@@ -273,7 +338,7 @@
     d.session = m.session;
     std::vector<Order> runs;
     for (const auto& [j, t] : m.tasks) {
-      Job& job = *jobs_.at(j);
+      Job& job = *jobs_[j];
       Attempt& a = job.attempts.at(t);
       if (may_order(job, a) && a.session == m.session) {
         runs.push_back({Verb::run, job.spec.id, t, a.number, 0});
@@ -289,7 +354,7 @@
     m.direct_in_flight = true;
     return d;
   }
-  return std::nullopt;
+  return introduction(now);
 }
 
 void Core::on_direct(const Direct& d, bool answered, const std::optional<Report>& r, double now) {
@@ -302,23 +367,32 @@
   if (answered) {
     for (const Order& o : d.orders) {
       if (o.verb != Verb::run || m.unanswered.count({o.job, o.task, o.attempt})) continue;
-      const Index j = job_names_.find(o.job);
-      auto it = j == kNone ? jobs_.end() : jobs_.find(j);
-      if (it == jobs_.end()) continue;
-      auto a = it->second->attempts.find(o.task);
-      if (a != it->second->attempts.end() && a->second.number == o.attempt)
-        a->second.direct = false;
+      Job* job = find(job_names_.find(o.job));
+      if (!job) continue;
+      auto a = job->attempts.find(o.task);
+      if (a != job->attempts.end() && a->second.number == o.attempt) a->second.direct = false;
     }
-  } else {
+  } else if (!d.orders.empty()) {
     m.direct_after = now + 5;
     for (const Order& o : d.orders)
       if (o.verb == Verb::run) m.unanswered.insert({o.job, o.task, o.attempt});
   }
-  if (!r || m.state == MachineState::gone || r->session != m.session || r->seq <= m.seq) return;
+  if (!r || m.state == MachineState::gone) return;
+  if (!m.heard) {
+    // An introduction. The answer to a call of our own is no late copy.
+    m.session = std::max(m.session, r->session);
+    if (r->token < token_) {
+      if (r->session != d.session) m.introduce_at = now;  // once more, with its session
+      return;
+    }
+    on_report(*r, now);
+    return;
+  }
+  if (r->session != m.session || r->seq <= m.seq) return;
   // What it lists counts. What it does not list proves nothing: the answer to a report may be on
   // its way to the worker with an order that this list does not know.
   m.seq = r->seq;
-  std::set<std::pair<Index, uint32_t>> listed;
+  Listed listed;
   take_list(m, *r, nullptr, nullptr, listed, now);
 }
 
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -22,7 +22,7 @@
   // [fleet]
   double lull_s = 15;
   double drain_deadline_s = 600;
-  double hire_every_s = 1;
+  double hire_every_s = 0.35;
 
   double refusal_s = 15;     // how long a refused (type, zone, kind) is left alone
   double boot_patience = 3;  // times boot_s until a machine that never came up is returned
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -16,7 +16,7 @@
 // A doubtful leader keeps its workers' leases alive no longer than this: no outage that the
 // service is meant to ride out lasts as long, and a cut one must let go some time.
 constexpr double kMaxDoubt = 60;
-constexpr size_t kMaxConnections = 700;
+constexpr size_t kMaxConnections = 2600;  // a thread each; every worker may come to one leader
 constexpr int kDirectThreads = 3;
 constexpr double kEagerGap = 0.06;  // rounds follow events no closer than this
 
@@ -49,7 +49,7 @@
       random_(std::random_device{}()) {
   const size_t most =
       std::min(kMaxConnections,
-               config_.max_sockets > 128 ? config_.max_sockets - 64 : config_.max_sockets / 2);
+               config_.max_sockets > 512 ? config_.max_sockets - 192 : config_.max_sockets / 2);
   api_ = std::make_unique<net::Server>(
       config_.bind, most, 64 * 1024,
       [this](const httplib::Request& q, httplib::Response& r) { serve(q, r); });
