--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -17,8 +17,11 @@
 
 constexpr const char* kType = "application/msgpack";
 // A user waits 5 s for an answer to a submission and 2 s for one to a poll.
-constexpr double kSubmitPatience = 4.0;
-constexpr double kPollPatience = 1.6;
+constexpr double kSubmitPatience = 3.0;
+constexpr double kPollPatience = 1.5;
+// A submission that finds no connection and no budget in this time is more than we can take: it is
+// told so at once, not when its user would give up anyway.
+constexpr double kQueuePatience = 0.9;
 constexpr size_t kPool = 4;
 constexpr double kHealthPatience = 2.5;
 
@@ -27,9 +30,11 @@
   res.set_content(wire::pack(body), kType);
 }
 
-// The service cannot take it now and says so at once; the user comes back by itself.
+// The service cannot take it now and says so at once, and when to come back: spread out, so that
+// not all return in the same second after an outage.
 void later(httplib::Response& res, const char* why) {
-  res.set_header("Retry-After", "1");
+  static std::atomic<unsigned> turn{0};
+  res.set_header("Retry-After", std::to_string(1 + turn++ % 3));
   reply(res, 503, {{"error", why}});
 }
 
@@ -53,7 +58,8 @@
       mine_ = std::make_unique<state::Client>(n.config_.state, n.state_budgets_);
       return;
     }
-    n.pool_cv_.wait_for(lock, std::chrono::seconds(2), [&] { return !n.pool_.empty(); });
+    n.pool_cv_.wait_for(lock, std::chrono::duration<double>(kQueuePatience),
+                        [&] { return !n.pool_.empty(); });
     if (n.pool_.empty()) return;
     mine_ = std::move(n.pool_.back());
     n.pool_.pop_back();
@@ -99,25 +105,25 @@
   }
 }
 
-// Brings a transaction to an outcome: an unanswered one is repeated word for word.
+// Brings a transaction to an outcome: an unanswered one is repeated word for word. Empty: it may
+// yet be executed, or not; the user has to ask again. It is waited for only while it may succeed: a
+// state service that refuses, or a queue that is too long, ends it at once.
 std::optional<ledger::Result> Node::settle(const ledger::Transaction& t, double deadline) {
+  if (state_down()) return std::nullopt;
   PooledState state(*this);
   if (!state) return std::nullopt;
   bool repeat = false;
   while (true) {
     const double left = deadline - steady_now();
     if (left <= 0.05) return std::nullopt;
-    const ledger::Result r =
-        repeat ? state->commit_repeated(t, left) : state->commit(t, std::min(left, 1.5));
+    const ledger::Result r = repeat ? state->commit_repeated(t, std::min(left, kQueuePatience))
+                                    : state->commit(t, std::min(left, kQueuePatience));
     if (r.outcome == Outcome::unknown) {
+      if (state_down()) return std::nullopt;
       repeat = true;
       continue;
     }
-    if (r.outcome == Outcome::refused && repeat) {
-      // This copy was refused; an earlier one may still be executed.
-      std::this_thread::sleep_for(std::chrono::milliseconds(200));
-      continue;
-    }
+    if (r.outcome == Outcome::refused && repeat) return std::nullopt;
     return r;
   }
 }
@@ -202,7 +208,7 @@
   ledger::Transaction t;
   {
     std::lock_guard lock(mutex_);
-    t.mark = config_.core.label + "." + std::to_string(random_());
+    t.mark = new_mark();
   }
   row.mark = t.mark;
   const json value = ledger::encode(row);
@@ -255,7 +261,7 @@
       if (!j) return reply(res, 404, {{"error", "no such job"}});
       if (j->row.standing != Standing::open)
         return reply(res, 200, wire::job_answer(id, *mirror_.answer(id), false));
-      t.mark = config_.core.label + "." + std::to_string(random_());
+      t.mark = new_mark();
       row.tasks = j->row.tasks;
       row.per = j->row.per;
       t.conditions = {{ledger::job_key(id), j->stamp}};
@@ -279,6 +285,10 @@
   if (!r) return reply(res, 400, {{"error", "not a report"}});
   std::unique_lock lock(mutex_);
   const double now = steady_now();
+  if (role_ == Role::doubtful && alone(now)) {
+    lock.unlock();
+    return reply(res, 503, {{"error", "cut off"}});
+  }
   if (leads() && core_ && !core_->lost()) {
     const ReportReply out = core_->on_report(*r, now);
     if (out.verdict != ReportReply::Verdict::deposed) {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -500,12 +500,13 @@
 }
 
 // As many as a transaction takes: each job's final state is a row of its own, kept for ever.
-std::optional<PendingTransaction> Core::closing_transaction(double now) {
+std::optional<PendingTransaction> Core::closing_transaction(double now, size_t room) {
   Flight f;
   f.kind = Flight::Kind::closing;
   uint64_t id = 0;
   for (Index i : closing_) {
-    if (f.jobs.size() >= std::min(settings_.txn_ops, kMostClosings)) break;
+    if (f.jobs.size() >= std::min({settings_.txn_ops, kMostClosings, std::max<size_t>(1, room)}))
+      break;
     Job& job = *jobs_[i];
     if (job.state != JobState::open || job.stale() || job.retry_at > now || job.flights > 0)
       continue;
@@ -531,7 +532,7 @@
   return p;
 }
 
-std::optional<PendingTransaction> Core::next_transaction(double now) {
+std::optional<PendingTransaction> Core::next_transaction(double now, size_t room) {
   if (lost_) return std::nullopt;
   // An unanswered transaction goes out again, word for word, before anything else is decided
   // about its rows: whatever copy is executed, the outcome is the same.
@@ -555,7 +556,7 @@
   const bool starts = pick != kNone && pages_[pick].urgent;
   closing_turn_ = !closing_turn_;
   if (closing_turn_ || !starts)
-    if (auto t = closing_transaction(now)) return t;
+    if (auto t = closing_transaction(now, room)) return t;
   if (pick != kNone) return page_transaction(pick, now);
   return fleet_transaction(now);
 }
@@ -676,9 +677,14 @@
   }
 }
 
-size_t Core::backlog() const {
+size_t Core::unsent() const {
   size_t n = closing_.size() + flights_.size();
   for (const Page& p : pages_) n += p.dirty_since >= 0;
+  return n;
+}
+
+size_t Core::backlog() const {
+  size_t n = unsent();
   for (const auto& job : jobs_)
     if (job) n += std::min<size_t>(job->waiting.size(), 64);
   return n;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -199,7 +199,9 @@
   void round(double now);
 
   // Transactions: at most one in flight per chunk.
-  std::optional<PendingTransaction> next_transaction(double now);
+  // `room`: so many changes may be made at once; a single row always may.
+  std::optional<PendingTransaction> next_transaction(double now, size_t room = SIZE_MAX);
+  size_t unsent() const;  // rows that wait to be written
   void on_result(uint64_t id, const ledger::Result& result, double now);
 
   std::optional<Hire> next_hire(double now);
@@ -258,7 +260,7 @@
   bool proposal_stands(const Attempt& a) const;
   void void_proposals(Job& job, bool all);
   std::optional<PendingTransaction> page_transaction(Index page, double now);
-  std::optional<PendingTransaction> closing_transaction(double now);
+  std::optional<PendingTransaction> closing_transaction(double now, size_t room);
   std::string mark_of(uint64_t txn) const;
   void fail(const std::string& why);
   void settle_page(const Flight& f, const ledger::Result& r, double now);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -16,6 +16,10 @@
 // A doubtful leader keeps its workers' leases alive no longer than this: no outage that the
 // service is meant to ride out lasts as long, and a cut one must let go some time.
 constexpr double kMaxDoubt = 60;
+// A doubtful leader that hears no sibling either for this long is likelier cut off than a witness
+// of an outage: it leaves its workers to whom the others elect.
+constexpr double kAloneAfter = 5;
+constexpr double kNeedFresh = 6;          // what a sibling said of its need counts this long
 constexpr size_t kMaxConnections = 2600;  // a thread each; every worker may come to one leader
 constexpr int kDirectThreads = 3;
 constexpr double kEagerGap = 0.06;  // rounds follow events no closer than this
@@ -47,6 +51,9 @@
       state_budgets_(config_.state_rps, config_.write_rps),
       cloud_budget_(config_.cloud_rps),
       random_(std::random_device{}()) {
+  incarnation_ = config_.core.label + "." +
+                 std::to_string(std::chrono::system_clock::now().time_since_epoch().count()) + "." +
+                 std::to_string(random_());
   const size_t most =
       std::min(kMaxConnections,
                config_.max_sockets > 512 ? config_.max_sockets - 192 : config_.max_sockets / 2);
@@ -110,6 +117,7 @@
 // ---------------------------------------------------------------- the ledger's mirror
 
 bool Node::barrier(double timeout_s) {
+  if (state_down()) return false;  // known to fail: said at once
   std::unique_lock lock(barrier_mutex_);
   const uint64_t mine = ++barrier_asked_;
   watch_cv_.notify_all();
@@ -195,6 +203,7 @@
       if (!loaded) {
         std::unique_lock lock(barrier_mutex_);
         barrier_failed_ = asked;
+        ++watch_failures_;
         barrier_cv_.notify_all();
         watch_cv_.wait_for(lock, std::chrono::milliseconds(300));
         continue;
@@ -209,6 +218,7 @@
     }
     if (w.kind == state::Client::Watch::Kind::events) {
       ok = true;
+      watch_failures_ = 0;
       std::lock_guard lock(mutex_);
       for (const wire::Row& r : w.rows.rows) apply(r);
       revision_ = std::max(revision_, w.rows.revision);
@@ -226,7 +236,10 @@
     std::unique_lock lock(barrier_mutex_);
     (ok ? barrier_done_ : barrier_failed_) = asked;
     barrier_cv_.notify_all();
-    if (!ok) watch_cv_.wait_for(lock, std::chrono::milliseconds(150));
+    if (!ok) {
+      ++watch_failures_;
+      watch_cv_.wait_for(lock, std::chrono::milliseconds(150));
+    }
   }
 }
 
@@ -241,10 +254,45 @@
                        : lead             ? kLeaderShare
                                           : (0.95 - kLeaderShare) / (config_.nodes - 1);
   state_budgets_.requests.set_share(share);
-  state_budgets_.writes.set_share(share);
+  share_writes();
   cloud_budget_.set_share(config_.nodes == 1 ? 0.95 : lead ? 0.7 : 0.25 / (config_.nodes - 1));
 }
 
+std::string Node::new_mark() { return incarnation_ + "." + std::to_string(++marks_); }
+
+// The changes a second that all nodes together may make go by need. Submissions, which the
+// followers write, have what they asked for lately and half as much again, up to a part that
+// depends on whether the leader has much to write; the leader has the rest.
+void Node::share_writes() {
+  if (config_.nodes <= 1) return state_budgets_.writes.set_share(0.95);
+  constexpr double kAll = 0.95, kLeast = 0.02;
+  const double now = steady_now(), rate = std::max(1e-3, config_.write_rps);
+  const std::string leader = leads() ? config_.core.label : highest_leader_;
+  double followers = 0, leaders = 0;
+  const auto part = [&](double need) { return 1.5 * need / rate + kLeast; };
+  const auto count = [&](const std::string& label, double need) {
+    if (label == leader)
+      leaders = need / rate;
+    else
+      followers += part(need);
+  };
+  count(config_.core.label, need_);
+  for (const Sibling& sibling : config_.siblings) {
+    auto it = needs_.find(sibling.label);
+    const bool fresh = it != needs_.end() && now - it->second.at < kNeedFresh;
+    count(sibling.label, fresh ? it->second.writes : 0);
+  }
+  const double most = leaders > 0.25 ? 0.6 : 0.85;
+  const double scale = followers > most ? most / followers : 1;
+  state_budgets_.writes.set_share(leader == config_.core.label ? kAll - scale * followers
+                                                               : scale * part(need_));
+}
+
+bool Node::alone(double now) const {
+  return !config_.siblings.empty() && now - siblings_at_ > kAloneAfter &&
+         now - state_ok_at_ > kAloneAfter;
+}
+
 void Node::step_down(Role to, const std::string& why) {
   core_.reset();
   token_ = 0;
@@ -258,7 +306,10 @@
   if (!lease) return false;
   const double granted = steady_now();
   ledger::Transaction t;
-  t.mark = config_.core.label + "." + std::to_string(*lease);
+  {
+    std::lock_guard lock(mutex_);
+    t.mark = new_mark();
+  }
   t.conditions = {{ledger::kLeaderKey, 0}};
   t.changes = {{ledger::kLeaderKey, false, {{"label", config_.core.label}, {"w", t.mark}}, *lease}};
   ledger::Result r = client.commit(t, 0.5);
@@ -427,7 +478,13 @@
   std::unique_lock lock(mutex_);
   while (!stop_) {
     std::optional<PendingTransaction> p;
-    if (role_ == Role::leading && core_) p = core_->next_transaction(steady_now());
+    // The transaction is made up only when it can go out: what comes meanwhile rides along.
+    if (const double wait = state_budgets_.writes.wait_for(1); wait > 0.002) {
+      nap(lock, commit_cv_, wait);
+      continue;
+    }
+    if (role_ == Role::leading && core_)
+      p = core_->next_transaction(steady_now(), static_cast<size_t>(state_budgets_.writes.there()));
     if (!p) {
       nap(lock, commit_cv_, 0.5);
       continue;
@@ -561,6 +618,7 @@
   mesh::View v;
   v.label = config_.core.label;
   v.state_ok = steady_now() - state_ok_at_ < kStateFresh;
+  v.writes = need_;
   v.token = highest_token_;
   v.leader = highest_leader_;
   return v;
@@ -568,7 +626,9 @@
 
 void Node::hear(const mesh::View& v) {
   std::lock_guard lock(mutex_);
+  siblings_at_ = steady_now();
   if (v.state_ok) siblings_ok_at_ = steady_now();
+  needs_[v.label] = {std::clamp(v.writes, 0.0, 1e6), steady_now()};
   if (v.token <= highest_token_) return;
   highest_token_ = v.token;
   highest_leader_ = v.leader;
@@ -581,6 +641,17 @@
   std::vector<std::unique_ptr<mesh::Peer>> peers;
   for (const Sibling& s : config_.siblings) peers.push_back(std::make_unique<mesh::Peer>(s));
   while (!stop_) {
+    {
+      std::lock_guard lock(mutex_);
+      const double now = steady_now();
+      const double asked = state_budgets_.writes.asked();
+      const double past = std::max(0.2, now - need_at_);
+      need_at_ = now;
+      // Up at once, down slowly.
+      need_ = std::max(asked / past, 0.7 * need_);
+      if (core_ && leads()) need_ = std::max(need_, static_cast<double>(core_->unsent()));
+      share_writes();
+    }
     for (auto& p : peers) {
       if (stop_) return;
       if (auto v = p->exchange(view())) hear(*v);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -75,6 +76,11 @@
   void direct_loop();
   void mesh_loop();
   void hear(const mesh::View& v);
+  void share_writes();           // under mutex_
+  bool alone(double now) const;  // no sibling answers, nor does the state service
+  std::string new_mark();        // under mutex_
+  // Whether asking the state service now is in vain as far as we know.
+  bool state_down() const { return watch_failures_ >= 2; }
   mesh::View view() const;
   bool leads() const { return role_ == Role::leading || role_ == Role::doubtful; }
   void nap(std::unique_lock<std::mutex>& lock, std::condition_variable& cv, double s);
@@ -101,6 +107,8 @@
   uint64_t revision_ = 0;  // the mirror holds all up to here (watcher's own)
   std::atomic<bool> loaded_{false};
   std::atomic<double> state_ok_at_{-1e9};
+  std::atomic<int> watch_failures_{0};        // in a row
+  std::atomic<double> siblings_at_{-1e9};     // a sibling was last heard
   std::atomic<double> siblings_ok_at_{-1e9};  // a sibling last said that the state answers it
 
   state::Budgets state_budgets_;
@@ -114,6 +122,15 @@
   std::unique_ptr<net::Server> api_, mesh_;
   std::vector<std::thread> threads_;
   std::mt19937 random_;
+  // Names this process among all that ever had its label: marks of a predecessor are never ours.
+  std::string incarnation_;
+  uint64_t marks_ = 0;
+  struct Need {
+    double writes = 0, at = -1e9;
+  };
+  std::map<std::string, Need> needs_;  // of changes a second, by sibling
+  double need_ = 0;                    // our own
+  double need_at_ = 0;
   friend class PooledState;
 };
 
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -5,7 +5,11 @@
 using nlohmann::json;
 
 json encode(const View& v) {
-  return {{"label", v.label}, {"leader", v.leader}, {"token", v.token}, {"state_ok", v.state_ok}};
+  return {{"label", v.label},
+          {"leader", v.leader},
+          {"token", v.token},
+          {"state_ok", v.state_ok},
+          {"writes", v.writes}};
 }
 
 std::optional<View> decode(const std::string& text) {
@@ -17,6 +21,7 @@
     j.at("leader").get_to(v.leader);
     j.at("token").get_to(v.token);
     j.at("state_ok").get_to(v.state_ok);
+    v.writes = j.value("writes", 0.0);
     return v;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -1,7 +1,8 @@
 #pragma once
 // What siblings tell one another on mesh_addr, in JSON: who they believe leads, with which token,
-// and whether the state service answers them. Nothing correct rests on it; it only makes a leader
-// that is cut from the state service alone step aside sooner, and tells an outage from a cut.
+// whether the state service answers them, and how many of the shared changes a second they have use
+// for. Nothing correct rests on it; it makes a leader that is cut from the state service alone step
+// aside sooner, tells an outage from a cut, and divides the rate of changes by need.
 
 #include <httplib.h>
 
@@ -21,6 +22,7 @@
   std::string leader;     // empty: none known
   uint64_t token = 0;     // the leader's
   bool state_ok = false;  // the state service answered lately
+  double writes = 0;      // changes a second it has use for
 };
 
 nlohmann::json encode(const View& v);
--- a/src/net/budget.h
+++ b/src/net/budget.h
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <mutex>
 #include <thread>
+#include <utility>
 
 namespace rookdyke::net {
 
@@ -20,6 +22,24 @@
     refill();
     rate_ = std::max(0.01, total_ * share);
   }
+  // How long until n are there.
+  double wait_for(double n) {
+    std::lock_guard lock(mutex_);
+    refill();
+    const double need = std::min(n, burst());
+    return level_ >= need ? 0 : (need - level_) / rate_;
+  }
+  // What is there now, whole numbers only.
+  double there() {
+    std::lock_guard lock(mutex_);
+    refill();
+    return std::max(0.0, std::floor(level_));
+  }
+  // What was asked for since the last call, given or not.
+  double asked() {
+    std::lock_guard lock(mutex_);
+    return std::exchange(asked_, 0.0);
+  }
   // After a 429: everything waits a little.
   void penalty(double s) {
     std::lock_guard lock(mutex_);
@@ -32,6 +52,7 @@
     {
       std::lock_guard lock(mutex_);
       refill();
+      asked_ += n;
       // One that asks for more than a second's worth passes once the bucket is full.
       const double need = std::min(n, burst());
       if (level_ < need) wait = (need - level_) / rate_;
@@ -55,7 +76,7 @@
   }
 
   std::mutex mutex_;
-  double total_, rate_, level_ = 0;
+  double total_, rate_, level_ = 0, asked_ = 0;
   Clock::time_point last_{};
 };
 
