--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -693,6 +693,7 @@
 void Core::round(double now) {
   if (lost_) return;
   eager_ = false;
+  ++work_.rounds;
   watch_machines(now);
   if (now >= next_sample_) {
     sample_demand(now);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -19,8 +19,10 @@
 // A doubtful leader that hears no sibling either for this long is likelier cut off than a witness
 // of an outage: it leaves its workers to whom the others elect.
 constexpr double kAloneAfter = 5;
-constexpr double kNeedFresh = 6;          // what a sibling said of its need counts this long
-constexpr size_t kMaxConnections = 2600;  // a thread each; every worker may come to one leader
+constexpr double kNeedFresh = 6;  // what a sibling said of its need counts this long
+constexpr size_t kMaxConnections = 4000;
+constexpr size_t kApiThreads = 160;  // requests served at once; users' wait for the state service
+constexpr size_t kMeshThreads = 8;
 constexpr int kDirectThreads = 3;
 constexpr double kEagerGap = 0.06;  // rounds follow events no closer than this
 
@@ -58,10 +60,10 @@
       std::min(kMaxConnections,
                config_.max_sockets > 512 ? config_.max_sockets - 192 : config_.max_sockets / 2);
   api_ = std::make_unique<net::Server>(
-      config_.bind, most, 64 * 1024,
+      config_.bind, most, kApiThreads, 64 * 1024,
       [this](const httplib::Request& q, httplib::Response& r) { serve(q, r); });
   mesh_ = std::make_unique<net::Server>(
-      config_.mesh, 16, 64 * 1024,
+      config_.mesh, 64, kMeshThreads, 64 * 1024,
       [this](const httplib::Request& q, httplib::Response& r) { serve_mesh(q, r); });
 }
 
@@ -265,11 +267,13 @@
 // depends on whether the leader has much to write; the leader has the rest.
 void Node::share_writes() {
   if (config_.nodes <= 1) return state_budgets_.writes.set_share(0.95);
-  constexpr double kAll = 0.95, kLeast = 0.02;
+  constexpr double kAll = 0.95;
+  // Submissions come one by one: what a node asked for in the last second says little of the next.
+  const double least = 0.3 / (config_.nodes - 1);
   const double now = steady_now(), rate = std::max(1e-3, config_.write_rps);
   const std::string leader = leads() ? config_.core.label : highest_leader_;
   double followers = 0, leaders = 0;
-  const auto part = [&](double need) { return 1.5 * need / rate + kLeast; };
+  const auto part = [&](double need) { return 1.5 * need / rate + least; };
   const auto count = [&](const std::string& label, double need) {
     if (label == leader)
       leaders = need / rate;
--- a/src/net/budget.h
+++ b/src/net/budget.h
@@ -64,7 +64,8 @@
   }
 
  private:
-  double burst() const { return std::max(1.0, 0.8 * rate_); }
+  // A small share still lets a few through at once: the limit itself bears a second's worth.
+  double burst() const { return std::max({1.0, std::min(4.0, 0.15 * total_), 0.8 * rate_}); }
   void refill() {
     const auto now = Clock::now();
     if (last_ != Clock::time_point{})
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -4,6 +4,8 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,7 +18,10 @@
 namespace {
 
 constexpr int kIdleMs = 60'000;  // a silent kept-open connection is closed after this
-constexpr int kReadMs = 5'000;   // within a request
+constexpr int kSweepMs = 5'000;
+constexpr std::chrono::seconds kThreadIdle(10);
+constexpr size_t kThreadsKept = 4;
+constexpr int kReadMs = 5'000;  // within a request
 constexpr int kWriteMs = 5'000;
 constexpr int kBacklog = 512;       // the library's is 5
 constexpr size_t kStack = 1 << 20;  // reserved, not used: the library matches headers recursively
@@ -29,15 +34,21 @@
   return n > 0;
 }
 
+}  // namespace
+
 // Buffers both ways: a request is usually one recv, an answer one send.
 class ConnectionStream : public httplib::Stream {
  public:
   explicit ConnectionStream(int fd) : fd_(fd) {}
 
-  // Blocks until a request begins; false: closed or idle for too long.
-  bool await_request() {
-    if (from_ < in_.size()) return true;
-    return fill(kIdleMs) > 0;
+  // Reads what has come; false: the peer has closed.
+  bool begin() { return from_ < in_.size() || receive() > 0; }
+  bool buffered() const { return from_ < in_.size(); }
+  // Nothing is kept for a connection that waits.
+  void rest() {
+    std::string().swap(in_);
+    std::string().swap(out_);
+    from_ = 0;
   }
   bool flush() {
     size_t sent = 0;
@@ -79,6 +90,9 @@
  private:
   ssize_t fill(int ms) {
     if (!wait_for(fd_, POLLIN, ms)) return -1;
+    return receive();
+  }
+  ssize_t receive() {
     in_.resize(8192);
     from_ = 0;
     ssize_t n = 0;
@@ -93,8 +107,6 @@
   size_t from_ = 0;
 };
 
-}  // namespace
-
 void start_thread(std::function<void()> fn, size_t stack_bytes) {
   pthread_attr_t attr;
   pthread_attr_init(&attr);
@@ -117,7 +129,7 @@
   }
 }
 
-void ConnectionThreads::enqueue(std::function<void()> fn) {
+void Threads::enqueue(std::function<void()> fn) {
   std::unique_lock lock(mutex_);
   jobs_.push_back(std::move(fn));
   if (idle_ >= jobs_.size() || threads_ >= most_) {
@@ -134,12 +146,14 @@
   }
 }
 
-void ConnectionThreads::run() {
+void Threads::run() {
   std::unique_lock lock(mutex_);
   while (true) {
     ++idle_;
-    wake_.wait(lock, [this] { return stop_ || !jobs_.empty(); });
+    const bool woken =
+        wake_.wait_for(lock, kThreadIdle, [this] { return stop_ || !jobs_.empty(); });
     --idle_;
+    if (!woken && idle_ < kThreadsKept) continue;
     if (jobs_.empty()) break;
     auto fn = std::move(jobs_.front());
     jobs_.pop_front();
@@ -152,25 +166,21 @@
   ended_.notify_all();
 }
 
-void ConnectionThreads::shutdown() {
+void Threads::shutdown() {
   std::unique_lock lock(mutex_);
   stop_ = true;
   wake_.notify_all();
   ended_.wait(lock, [this] { return threads_ == 0; });
 }
 
-bool ConnectionThreads::crowded() const {
-  std::lock_guard lock(mutex_);
-  return threads_ - idle_ + jobs_.size() > most_ * 9 / 10;
-}
-
-Server::Server(Endpoint at, size_t max_connections, size_t max_body, Handle handle)
-    : at_(std::move(at)), most_(max_connections) {
+Server::Server(Endpoint at, size_t max_connections, size_t max_threads, size_t max_body,
+               Handle handle)
+    : at_(std::move(at)), most_(max_connections), most_threads_(max_threads) {
   set_payload_max_length(max_body);
   set_tcp_nodelay(true);
   set_keep_alive_max_count(1'000'000);
   set_keep_alive_timeout(kIdleMs / 1000);
-  new_task_queue = [this] { return threads_ = new ConnectionThreads(most_); };
+  new_task_queue = [this] { return threads_ = new Threads(most_threads_); };
   // The library routes by regular expressions, which recurse over the path; every request is
   // routed as "/" and told apart by its target (process_and_close_socket).
   Get("/", handle);
@@ -195,32 +205,109 @@
     return false;
   }
   ::listen(svr_sock_, kBacklog);
+  epoll_ = ::epoll_create1(EPOLL_CLOEXEC);
+  wake_ = ::eventfd(0, EFD_CLOEXEC);
+  epoll_event e{};
+  e.events = EPOLLIN;
+  e.data.fd = wake_;
+  if (epoll_ < 0 || wake_ < 0 || ::epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_, &e) != 0) return false;
+  watcher_ = std::thread([this] { watch_idle(); });
   listener_ = std::thread([this] { listen_after_bind(); });
   return true;
 }
 
 void Server::halt() {
   if (!listener_.joinable()) return;
+  halting_ = true;
+  const uint64_t one = 1;
+  if (::write(wake_, &one, sizeof one) < 0) return;
+  watcher_.join();
   stop();
   listener_.join();
+  ::close(epoll_);
+  ::close(wake_);
+}
+
+void Server::close(const std::shared_ptr<ConnectionStream>& stream) {
+  --open_;
+  ::shutdown(stream->socket(), SHUT_RDWR);
+  ::close(stream->socket());
 }
 
+// A new connection.
 bool Server::process_and_close_socket(socket_t sock) {
   const int one = 1;
   ::setsockopt(sock, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-  {
-    ConnectionStream stream(sock);
-    while (svr_sock_ != INVALID_SOCKET && stream.await_request()) {
-      bool closed = false;
-      // When threads run short, connections are given up after an answer to make way.
-      const bool ok = process_request(stream, threads_->crowded(), closed,
-                                      [](httplib::Request& r) { r.path = "/"; });
-      if (!stream.flush() || !ok || closed) break;
+  ++open_;
+  keep(std::make_shared<ConnectionStream>(sock));
+  return true;
+}
+
+void Server::keep(std::shared_ptr<ConnectionStream> stream) {
+  const int fd = stream->socket();
+  stream->rest();
+  epoll_event e{};
+  e.events = EPOLLIN | EPOLLRDHUP | EPOLLONESHOT;
+  e.data.fd = fd;
+  std::unique_lock lock(mutex_);
+  if (halting_) {
+    lock.unlock();
+    return close(stream);
+  }
+  idle_[fd] = {std::move(stream), std::chrono::steady_clock::now()};
+  // A connection that was watched before is still known to epoll, disarmed.
+  if (::epoll_ctl(epoll_, EPOLL_CTL_MOD, fd, &e) != 0 &&
+      ::epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &e) != 0) {
+    stream = std::move(idle_[fd].stream);
+    idle_.erase(fd);
+    lock.unlock();
+    close(stream);
+  }
+}
+
+void Server::watch_idle() {
+  std::vector<epoll_event> events(64);
+  auto swept = std::chrono::steady_clock::now();
+  while (!halting_) {
+    const int n = ::epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), kSweepMs);
+    for (int i = 0; i < n; ++i) {
+      std::unique_lock lock(mutex_);
+      auto it = idle_.find(events[static_cast<size_t>(i)].data.fd);
+      if (it == idle_.end()) continue;
+      std::shared_ptr<ConnectionStream> stream = std::move(it->second.stream);
+      idle_.erase(it);
+      lock.unlock();
+      threads_->enqueue([this, stream] { serve(stream); });
     }
+    const auto now = std::chrono::steady_clock::now();
+    if (now - swept < std::chrono::milliseconds(kSweepMs)) continue;
+    swept = now;
+    std::vector<std::shared_ptr<ConnectionStream>> silent;
+    {
+      std::lock_guard lock(mutex_);
+      for (auto it = idle_.begin(); it != idle_.end();) {
+        const bool over = now - it->second.idle_since > std::chrono::milliseconds(kIdleMs);
+        if (over) silent.push_back(std::move(it->second.stream));
+        it = over ? idle_.erase(it) : std::next(it);
+      }
+    }
+    for (auto& s : silent) close(s);
   }
-  ::shutdown(sock, SHUT_RDWR);
-  ::close(sock);
-  return true;
+  std::lock_guard lock(mutex_);
+  for (auto& [fd, c] : idle_) close(c.stream);
+  idle_.clear();
+}
+
+void Server::serve(std::shared_ptr<ConnectionStream> stream) {
+  if (!stream->begin()) return close(stream);
+  do {
+    bool closed = false;
+    // When connections run short, they are given up after an answer to make way.
+    const bool ok = process_request(*stream, open_ > most_ * 9 / 10, closed,
+                                    [](httplib::Request& r) { r.path = "/"; });
+    if (!stream->flush() || !ok || closed) return close(stream);
+  } while (stream->buffered());
+  keep(std::move(stream));
 }
 
 }  // namespace rookdyke::net
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -1,10 +1,13 @@
 #pragma once
-// cpp-httplib's server, fitted to small machines: a kept-open connection waits in one poll
-// instead of many short ones, requests are read and answered with as few system calls as can be,
-// threads are bounded, small and reused, and the listen backlog is deep.
+// cpp-httplib's server, fitted to small machines with a thousand kept-open connections: these wait
+// together in one thread (a thread each took 45 KB, and memory for twice as many is needed while
+// machines reconnect), and have a thread of a pool only while a request is served. Requests are
+// read and answered with as few system calls as can be, and the listen backlog is deep.
 
 #include <httplib.h>
 
+#include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -12,36 +15,38 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <unordered_map>
 
 #include "config/config.h"
 
 namespace rookdyke::net {
 
-// A thread per connection up to `most`; idle ones are used again. Beyond that, connections queue.
-class ConnectionThreads : public httplib::TaskQueue {
+// Threads up to `most`; idle ones are used again, and end after a while. Beyond that, work queues.
+class Threads : public httplib::TaskQueue {
  public:
-  explicit ConnectionThreads(size_t most) : most_(most) {}
-  ~ConnectionThreads() override = default;
+  explicit Threads(size_t most) : most_(most) {}
+  ~Threads() override = default;
   void enqueue(std::function<void()> fn) override;
   void shutdown() override;
-  bool crowded() const;
 
  private:
   void run();
   const size_t most_;
-  mutable std::mutex mutex_;
+  std::mutex mutex_;
   std::condition_variable wake_, ended_;
   std::deque<std::function<void()>> jobs_;
   size_t threads_ = 0, idle_ = 0;
   bool stop_ = false;
 };
 
+class ConnectionStream;
+
 class Server : public httplib::Server {
  public:
   // One handler for all; Request::target is the path as sent, undecoded.
   using Handle = std::function<void(const httplib::Request&, httplib::Response&)>;
 
-  Server(Endpoint at, size_t max_connections, size_t max_body, Handle handle);
+  Server(Endpoint at, size_t max_connections, size_t max_threads, size_t max_body, Handle handle);
   ~Server() override;
   // Binds, listens and serves in a thread of its own; false: the address cannot be had.
   bool start();
@@ -49,12 +54,25 @@
   int port() const { return at_.port; }
 
  private:
+  struct Connection {
+    std::shared_ptr<ConnectionStream> stream;
+    std::chrono::steady_clock::time_point idle_since;
+  };
   bool process_and_close_socket(socket_t sock) override;
+  void serve(std::shared_ptr<ConnectionStream> stream);  // one request that has begun to arrive
+  void keep(std::shared_ptr<ConnectionStream> stream);   // until the next one begins
+  void watch_idle();
+  void close(const std::shared_ptr<ConnectionStream>& stream);
 
   Endpoint at_;
-  size_t most_;
-  ConnectionThreads* threads_ = nullptr;  // owned by the listening loop
-  std::thread listener_;
+  size_t most_, most_threads_;
+  Threads* threads_ = nullptr;  // owned by the listening loop
+  std::thread listener_, watcher_;
+  std::mutex mutex_;
+  std::unordered_map<int, Connection> idle_;  // by file descriptor, watched by epoll_
+  std::atomic<size_t> open_{0};
+  std::atomic<bool> halting_{false};
+  int epoll_ = -1, wake_ = -1;
 };
 
 // Starts a thread with a small stack, unlike std::thread.
--- a/tests/checker.cpp
+++ b/tests/checker.cpp
@@ -4,6 +4,11 @@
 
 namespace rookdyke::test {
 
+namespace {
+// After all troubles, a job about which nothing is answered for this long is forgotten.
+constexpr double kUnanswered = 75;
+}  // namespace
+
 void Checker::breaks(double now, const std::string& rule, const std::string& what) {
   broken_.push_back(rule + " at " + std::to_string(now) + ": " + what);
 }
@@ -44,7 +49,14 @@
 
 void Checker::poll_failed(double now, const std::string& id, bool others_answered) {
   JobTruth& j = jobs_[id];
-  if (!j.accepted || !others_answered) return;
+  if (!j.accepted) return;
+  if (now >= troubles_over) {
+    if (j.failing_since < troubles_over) j.failing_since = now;
+    if (now - j.failing_since > kUnanswered)
+      breaks(now, "forgotten", id + " cannot be asked about after all troubles");
+    return;
+  }
+  if (!others_answered) return;
   if (j.failing_since < 0) j.failing_since = now;
   if (now - j.failing_since > 90) {
     breaks(now, "forgotten", id + " cannot be asked about");
@@ -55,6 +67,7 @@
 void Checker::starts(double now, const std::string& id, uint32_t task, const Place& at) {
   ++starts_;
   JobTruth& j = jobs_[id];
+  if (j.begun_at < 0) j.begun_at = now;
   const std::string name = id + "/" + std::to_string(task);
   for (const auto& [m, p] : j.on[task])
     if (m != at.machine) breaks(now, "ran_twice", name + " on " + m + " and " + at.machine);
@@ -79,7 +92,7 @@
   if (!place_ok) breaks(now, "wrong_place", name + " on " + at.machine + " in " + at.zone);
   j.on[task][at.machine] = at;
   for (const TeamInfo& team : teams_) {
-    if (team.name != j.spec.team) continue;
+    if (team.name != j.spec.team || (team.cpus_max <= 0 && team.gpus_max <= 0)) continue;
     double cpus = 0, gpus = 0;
     for (const auto& [other_id, o] : jobs_) {
       if (o.spec.team != team.name) continue;
@@ -94,6 +107,41 @@
   }
 }
 
+std::vector<std::string> Checker::unfair(double begin_within_s) const {
+  std::vector<std::string> out;
+  struct Share {
+    size_t jobs = 0, done = 0;
+  };
+  std::map<std::string, Share> shares;
+  std::map<std::string, std::vector<const JobTruth*>> classes;
+  for (const auto& [id, j] : jobs_) {
+    if (j.spec.id.empty() || j.cancel_asked) continue;
+    classes[j.spec.lot].push_back(&j);
+    for (const std::string& key : {"class " + j.spec.lot, "team " + j.spec.team}) {
+      ++shares[key].jobs;
+      shares[key].done += j.done.size() >= j.spec.tasks;
+    }
+  }
+  for (auto& [lot, jobs] : classes) {
+    uint32_t most = 0;
+    for (const JobTruth* j : jobs) most = std::max(most, j->spec.tasks);
+    for (const JobTruth* j : jobs) {
+      if (j->spec.tasks < most) continue;
+      Share& s = shares["the largest of " + lot];
+      ++s.jobs;
+      s.done += j->done.size() >= j->spec.tasks;
+      if (j->begun_at < 0 || j->begun_at > j->submitted_at + begin_within_s)
+        out.push_back(j->spec.id + ", of the largest of " + lot + ", began at " +
+                      std::to_string(j->begun_at));
+    }
+  }
+  for (const auto& [key, s] : shares)
+    if (2 * s.done < s.jobs)
+      out.push_back(key + ": " + std::to_string(s.done) + " of " + std::to_string(s.jobs) +
+                    " done");
+  return out;
+}
+
 void Checker::leaves(const std::string& id, uint32_t task, const std::string& machine) {
   jobs_[id].on[task].erase(machine);
 }
--- a/tests/checker.h
+++ b/tests/checker.h
@@ -22,10 +22,16 @@
       : teams_(std::move(teams)), cancel_s_(cancel_s) {}
 
   // What users do and are told.
-  void submitted(const JobSpec& spec) { jobs_[spec.id].spec = spec; }
+  void submitted(double now, const JobSpec& spec) {
+    jobs_[spec.id].spec = spec;
+    jobs_[spec.id].submitted_at = now;
+  }
   // `answer`: "pending", "running", "done", "aborted", "404", "400", "422"; others are failures.
   void told(double now, const std::string& job, const std::string& answer, bool cancel_asked);
+  // Counts from `troubles_over` on, however others fare; before that only while others are
+  // answered.
   void poll_failed(double now, const std::string& job, bool others_answered);
+  double troubles_over = 1e18;
 
   // What really happens.
   void starts(double now, const std::string& job, uint32_t task, const Place& at);
@@ -35,6 +41,10 @@
 
   const std::vector<std::string>& broken() const { return broken_; }
   bool is_broken(const std::string& rule) const;
+  // The users' shares: what of each class, of each team and of each class's largest jobs was not
+  // cancelled and is not done by now (less than half done), and which largest jobs did not begin in
+  // time. Empty: all is well.
+  std::vector<std::string> unfair(double begin_within_s) const;
   size_t starts_seen() const { return starts_; }
 
  private:
@@ -45,6 +55,7 @@
     bool accepted = false, called_done = false, called_aborted = false, cancel_asked = false;
     double aborted_at = -1;
     double failing_since = -1;
+    double submitted_at = -1, begun_at = -1;
   };
   void breaks(double now, const std::string& rule, const std::string& what);
 
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -18,7 +18,7 @@
 
 class CheckerTest : public testing::Test {
  protected:
-  CheckerTest() : checker({{"t", 0, 0, 0, 2}}, 30) { checker.submitted(job("wk-000001")); }
+  CheckerTest() : checker({{"t", 0, 0, 0, 2}}, 30) { checker.submitted(0, job("wk-000001")); }
   Place at(const std::string& m, const std::string& zone = "a", bool spot = false) {
     return {m, "box", zone, spot};
   }
@@ -51,7 +51,7 @@
   checker.starts(1, "wk-000001", 0, at("m1"));
   checker.starts(1, "wk-000001", 1, at("m1"));
   EXPECT_FALSE(checker.is_broken("quota"));
-  checker.submitted(job("wk-000002"));
+  checker.submitted(0, job("wk-000002"));
   checker.starts(1, "wk-000002", 0, at("m1"));
   EXPECT_TRUE(checker.is_broken("quota"));
 }
@@ -64,7 +64,7 @@
 TEST_F(CheckerTest, WrongPlaceForTheOthers) {
   JobSpec s = job("wk-000003");
   s.one_zone = true;
-  checker.submitted(s);
+  checker.submitted(0, s);
   checker.starts(1, "wk-000003", 0, at("m1", "a"));
   EXPECT_FALSE(checker.is_broken("wrong_place"));
   checker.starts(1, "wk-000003", 1, at("m2", "b"));
@@ -74,7 +74,7 @@
 TEST_F(CheckerTest, WrongPlaceWhenScattered) {
   JobSpec s = job("wk-000003");
   s.scatter = true;
-  checker.submitted(s);
+  checker.submitted(0, s);
   checker.starts(1, "wk-000003", 0, at("m1", "a"));
   EXPECT_FALSE(checker.is_broken("wrong_place"));
   checker.starts(1, "wk-000003", 1, at("m2", "a"));
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -35,7 +35,7 @@
  public:
   StateService()
       : store_(clock_),
-        server_({"127.0.0.1", 0}, 64, 1 << 20,
+        server_({"127.0.0.1", 0}, 64, 64, 1 << 20,
                 [this](const httplib::Request& q, httplib::Response& r) { serve(q, r); }) {
     EXPECT_TRUE(server_.start());
   }
@@ -117,7 +117,7 @@
 class CloudAndWorkers {
  public:
   CloudAndWorkers()
-      : server_({"127.0.0.1", 0}, 16, 1 << 20,
+      : server_({"127.0.0.1", 0}, 16, 16, 1 << 20,
                 [this](const httplib::Request& q, httplib::Response& r) { serve(q, r); }) {
     EXPECT_TRUE(server_.start());
   }
@@ -356,14 +356,14 @@
 TEST(Mesh, ViewsAreExchanged) {
   mesh::View heard;
   net::Server server(
-      {"127.0.0.1", 0}, 4, 65536, [&](const httplib::Request& q, httplib::Response& r) {
+      {"127.0.0.1", 0}, 4, 4, 65536, [&](const httplib::Request& q, httplib::Response& r) {
         heard = mesh::decode(q.body).value_or(mesh::View{});
-        r.set_content(mesh::encode({"n1", "n2", 9, true}).dump(), "application/json");
+        r.set_content(mesh::encode({"n1", "n2", 9, true, 2.5}).dump(), "application/json");
       });
   ASSERT_TRUE(server.start());
   {
     mesh::Peer peer({"n1", {"127.0.0.1", server.port()}});
-    const auto v = peer.exchange({"n0", "n0", 4, false});
+    const auto v = peer.exchange({"n0", "n0", 4, false, 0});
     ASSERT_TRUE(v);
     EXPECT_EQ(v->token, 9u);
     EXPECT_EQ(v->leader, "n2");
--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -12,6 +12,7 @@
 //                                 (core/settings.h)
 //   capacity ZONE spot|ordinary N machines to be had (default 100)
 //   messages [lose P] [repeat P] [slow P]    chances for every message, for the whole run
+//   late_copies P S               chance that a copy of a report comes up to S seconds later
 //   never_boots P
 //   objective LOT wait|finished S   what is promised for a class
 //
@@ -20,14 +21,17 @@
 //   at T submit ID array|gang N [gpus G] [cpus C] [mem M] [run S] [image NAME GB] [spot]
 //        [one_zone] [scatter] [zone Z] [team T] [lot L] [rank idle|standard|urgent|critical]
 //        [save EVERY NEEDS] [faulty]
+//   at T stream ID every S until U array|gang ...  one more such job every S seconds, numbered on
 //   at T abort ID
 //   at T ask ID                   poll for a job that may never have been submitted
 //   at T crash leader|all|K [for S]
-//   at T cut leader|K from state|workers|users|all for S [hold]
+//   at T cut leader|K from state|workers|users|siblings|all for S [hold]
 //   at T unplug MACHINES for S [hold]     cut from all controllers, a count of machines
 //   at T state_outage S
 //   at T cloud_outage S
+//   at T deafen MACHINES for S    their reports arrive; no answer or command reaches them
 //   at T hang|sick|take MACHINES [for S] [notice S]    MACHINES: a count, or all, or busy
+//   troubles_over T               from then on every accepted job is answered for
 //   until T
 //
 // And what must be so. No broken rule is demanded always.
@@ -40,6 +44,10 @@
 //   expect hires at_most N
 //   expect returns at_least N
 //   expect leader                 at the end
+//   expect all_known              every accepted job is done or aborted at the end
+//   expect fair                   the users' shares: half of each class, team and class's largest
+//                                 jobs done; these begun within 240 s
+//   expect work_a_round at_most N machines and jobs looked at by the leader in a round, on average
 
 #include <spdlog/spdlog.h>
 
@@ -106,6 +114,8 @@
     world_->repeat = repeat_;
     world_->slow = slow_;
     world_->never_boots = never_boots_;
+    world_->late_copies = late_copies_;
+    world_->late_copies_s = late_copies_s_;
     std::vector<std::pair<int, Words>> expects;
     double until = 0;
     for (; i < script_.lines.size(); ++i) {
@@ -114,6 +124,8 @@
         schedule(n, w);
       else if (w[0] == "until")
         until = number(w, 1, n);
+      else if (w[0] == "troubles_over")
+        world_->checker.troubles_over = number(w, 1, n);
       else if (w[0] == "expect")
         expects.emplace_back(n, w);
       else
@@ -224,6 +236,9 @@
         else
           wrong(line, "unknown: " + w[i]);
       }
+    } else if (w[0] == "late_copies") {
+      late_copies_ = number(w, 1, line);
+      late_copies_s_ = number(w, 2, line);
     } else if (w[0] == "objective") {
       settings_.objectives.push_back(
           {word(w, 2, line) == "wait", word(w, 1, line), number(w, 3, line)});
@@ -246,6 +261,20 @@
     auto flag = [&](const std::string& name) {
       return std::find(w.begin() + 3, w.end(), name) != w.end();
     };
+    if (what == "stream") {
+      // The same line as a submission, for each job.
+      const double every = number(w, 5, line), end = number(w, 7, line);
+      if (every <= 0) wrong(line, "every 0 s");
+      uint64_t id = std::stoull(word(w, 3, line).substr(3));
+      for (double at = t; at < end; at += every) {
+        char name[32];
+        std::snprintf(name, sizeof name, "wk-%06llu", static_cast<unsigned long long>(id++));
+        Words one{"at", std::to_string(at), "submit", name};
+        one.insert(one.end(), w.begin() + 8, w.end());
+        schedule(line, one);
+      }
+      return;
+    }
     if (what == "submit") {
       JobSpec s;
       s.id = word(w, 3, line);
@@ -323,6 +352,9 @@
           const std::string me = "n" + std::to_string(i);
           if (from == "all") {
             world->cut(me, "*", s, hold);
+          } else if (from == "siblings") {
+            for (size_t k = 0; k < world->nodes.size(); ++k)
+              if (k != i) world->cut(me, "n" + std::to_string(k), s, hold);
           } else if (from == "workers") {
             for (auto& [name, m] : world->workers) world->cut(me, name, s, hold);
           } else {
@@ -355,6 +387,16 @@
             world->cut("n" + std::to_string(i), name, s, hold);
         }
       });
+    } else if (what == "deafen") {
+      size_t left = static_cast<size_t>(number(w, 3, line));
+      const double s = option("for", 10);
+      world->clock.at(t, [world, left, s]() mutable {
+        for (auto& [name, m] : world->workers) {
+          if (m->gone || !m->up) continue;
+          if (left-- == 0) break;
+          m->deaf_until = world->clock.now + s;
+        }
+      });
     } else if (what == "hang" || what == "sick" || what == "take") {
       const std::string which = word(w, 3, line);
       const double s = option("for", 10), notice = option("notice", -1);
@@ -403,6 +445,24 @@
       if (w[2] == "at_most" ? is > n : is < n) miss(std::to_string(is));
       return;
     }
+    if (what == "all_known") {
+      for (const auto& [id, j] : world_->jobs)
+        if (j.told != "done" && j.told != "aborted") miss(id + " " + j.told);
+      return;
+    }
+    if (what == "fair") {
+      for (const std::string& u : world_->checker.unfair(240)) miss(u);
+      return;
+    }
+    if (what == "work_a_round") {
+      const SimNode* n = world_->leader();
+      if (!n) return miss("nobody leads");
+      const Core::Work& did = n->core()->work();
+      const double per = static_cast<double>(did.machines_looked_at + did.jobs_looked_at) /
+                         static_cast<double>(std::max<uint64_t>(1, did.rounds));
+      if (per > number(w, 3, line)) miss(std::to_string(per));
+      return;
+    }
     if (what == "leader") {
       if (!world_->leader()) miss("nobody");
       return;
@@ -432,6 +492,7 @@
   std::vector<TypeInfo> types_;
   Settings settings_;
   std::map<std::pair<std::string, bool>, int> capacity_;
+  double late_copies_ = 0, late_copies_s_ = 0;
   double lose_ = 0, repeat_ = 0, slow_ = 0, never_boots_ = 0;
   std::unique_ptr<World> world_;
   std::vector<std::string> failures_;
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -204,6 +204,11 @@
   last_sent_ = sent;
   const uint64_t session = session_;
   const Report r = make_report();
+  if (w_.chance() < w_.late_copies)
+    w_.clock.after(w_.late_copies_s * w_.chance(), [this, r] {
+      SimNode& n = *w_.nodes[w_.random() % w_.nodes.size()];
+      if (n.alive) n.on_report(r);
+    });
   auto got = std::make_shared<SimNode::ReportAnswer>();
   auto served = std::make_shared<bool>(false);
   const size_t node = node_;
@@ -216,6 +221,7 @@
       },
       [this, got, served, sent, session](bool ok) {
         if (gone) return;
+        ok = ok && w_.clock.now >= deaf_until;
         in_flight_ = false;
         if (hung) return;
         if (!ok)
@@ -346,7 +352,7 @@
 // A direct order: executed as long as token and session match, however late it comes.
 std::optional<Report> Worker::direct(uint64_t token, uint64_t session,
                                      const std::vector<Order>& orders) {
-  if (gone || !up) return std::nullopt;
+  if (gone || !up || w_.clock.now < deaf_until) return std::nullopt;
   if (hung) {
     held_.push_back({token, session, orders});
     return std::nullopt;
@@ -432,9 +438,27 @@
   heard_state_ = -1e9;
   next_list_ = next_renewal_ = 0;
   waiting_.clear();
+  heard_sibling_ = w_.clock.now;
   watch();
   lead();
   round();
+  mesh();
+}
+
+// Siblings that hear one another; the daemon's exchange of views tells more, and no rule rests on
+// it.
+void SimNode::mesh() {
+  const uint64_t life = life_;
+  for (size_t i = 0; i < w_.nodes.size(); ++i)
+    if (i != index_)
+      w_.call(
+          "n" + std::to_string(index_), "n" + std::to_string(i), 0.5, [] {},
+          [this, life](bool ok) {
+            if (ok && life == life_) heard_sibling_ = w_.clock.now;
+          });
+  w_.clock.after(1, [this, life] {
+    if (life == life_) mesh();
+  });
 }
 
 void SimNode::crash() {
@@ -681,6 +705,10 @@
 
 SimNode::ReportAnswer SimNode::on_report(const Report& r) {
   ReportAnswer a;
+  // As the daemon: one that hears neither siblings nor the state service lets its workers go.
+  if (core_ && w_.nodes.size() > 1 && w_.clock.now - heard_sibling_ > 5 &&
+      w_.clock.now - heard_state_ > 5)
+    return a;
   if (core_ && !core_->lost()) {
     const ReportReply out = core_->on_report(r, w_.clock.now);
     if (out.verdict != ReportReply::Verdict::deposed) {
@@ -919,7 +947,7 @@
   j.spec = spec;
   j.run_s = run_s;
   j.faulty = faulty;
-  checker.submitted(spec);
+  checker.submitted(clock.now, spec);
   try_submit(spec.id, clock.now);
 }
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -92,6 +92,7 @@
   void notice(double s);
   void session_over();
   bool gone = false, hung = false, sick = false, up = false;
+  double deaf_until = -1;  // its reports arrive; answers and commands do not reach it
   double hired_at;
   std::string name, zone;
   const TypeInfo type;
@@ -149,6 +150,7 @@
   bool alive = false;
   bool leading() const { return core_ != nullptr; }
   Core* core() { return core_.get(); }
+  const Core* core() const { return core_.get(); }
   uint64_t token() const { return token_; }
   const std::string& label() const { return label_; }
   void step_down(const std::string& why, double rest = 0);
@@ -171,6 +173,7 @@
   void commit();
   void cloud();
   void direct();
+  void mesh();
   void barrier(std::function<void(bool)> then);
   void settle(ledger::Transaction t, bool repeat, int tries,
               std::function<void(std::optional<ledger::Result>)> then);
@@ -184,7 +187,7 @@
   bool loaded_ = false, campaigning_ = false;
   std::unique_ptr<Core> core_;
   uint64_t token_ = 0, lease_ = 0;
-  double renewed_ = 0, rest_until_ = 0, heard_state_ = -1e9;
+  double renewed_ = 0, rest_until_ = 0, heard_state_ = -1e9, heard_sibling_ = -1e9;
   std::vector<std::function<void(bool)>> waiting_;
   bool committing_ = false, cloud_busy_ = false;
   double next_list_ = 0, next_renewal_ = 0;
@@ -211,6 +214,8 @@
   std::vector<std::unique_ptr<SimNode>> nodes;
   std::map<std::string, std::unique_ptr<Worker>> workers;
   double lose = 0, repeat = 0, slow = 0;  // chances per message
+  // Copies of reports that come late, to any node: chance per report, and up to how late.
+  double late_copies = 0, late_copies_s = 0;
 
   // A request over the network from one place to another; places are "n0".. for nodes, "state",
   // "cloud", "users", and machine names. `serve` runs there (perhaps late, perhaps twice);
