--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -35,6 +35,7 @@
 // The share of machines that has to be silent, beyond two, for a cut to be the likely cause.
 constexpr double kManyShare = 0.15;
 constexpr size_t kFleetNameBytes = 24;
+constexpr size_t kFleetRows = 4;  // a transaction: it is 64 KiB at most
 
 }  // namespace
 
@@ -471,7 +472,7 @@
   f.txn.mark = mark_of(id);
   f.txn.conditions = {{ledger::kLeaderKey, token_}};
   const size_t per = fleet_per_row();
-  while (!fleet_dirty_.empty() && f.txn.changes.size() < settings_.txn_ops) {
+  while (!fleet_dirty_.empty() && f.txn.changes.size() < std::min(settings_.txn_ops, kFleetRows)) {
     const uint32_t n = *fleet_dirty_.begin();
     fleet_dirty_.erase(fleet_dirty_.begin());
     std::map<std::tuple<Index, Index, bool>, json> groups;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -40,6 +40,9 @@
 constexpr double kSetAsideSize = 0.3;
 constexpr double kSetAsideFor = 3;     // kept up from round to round while it waits
 constexpr double kSetAsideMost = 0.1;  // of all machines, for all jobs together
+// What a second of image fetch weighs against what is lost by stopping others: a save and a fetch
+// one after the other break most promises of a prompt start.
+constexpr double kFetchCost = 4;
 // Room is made by stopping others no more often than this.
 constexpr double kPreemptEvery = 0.2;
 
@@ -403,7 +406,8 @@
       e.victims.emplace_back(v.job, v.task);
     }
     if (!job.spec.each.fits(room)) continue;
-    if (!m.images.count(job.image)) e.cost += 2;
+    if (!m.images.count(job.image))
+      e.cost += kFetchCost * job.spec.image_gb / std::max(0.01, types_[m.type].fetch_gb_per_s);
     out.push_back(std::move(e));
   }
   std::sort(out.begin(), out.end(), [](const Eviction& a, const Eviction& b) {
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -44,6 +45,10 @@
     std::lock_guard lock(mutex_);
     outage_ = on;
   }
+  size_t transactions() {
+    std::lock_guard lock(mutex_);
+    return asked_;
+  }
 
  private:
   void serve(const httplib::Request& q, httplib::Response& r) {
@@ -56,6 +61,7 @@
       const size_t from = at + name.size() + 1;
       return q.target.substr(from, q.target.find('&', from) - from);
     };
+    if (path == "/txn") ++asked_;
     if (outage_) return put(r, 503, {{"error", "down"}});
     if (path == "/txn") {
       ledger::Transaction t;
@@ -107,6 +113,7 @@
 
   std::mutex mutex_;
   bool outage_ = false;
+  size_t asked_ = 0;
   test::Clock clock_;
   test::Store store_;
   net::Server server_;
@@ -353,6 +360,64 @@
   EXPECT_TRUE(until([&] { return standing(b, "wk-000004") == "done"; }));
 }
 
+// What cannot be taken is answered at once, with Retry-After, and without asking a state service
+// that is known to refuse: nothing is held back until its user would give up.
+TEST_F(Loopback, WhatIsKnownToFailIsRefusedAtOnce) {
+  ASSERT_TRUE(until([&] { return a.role() == Role::leading || b.role() == Role::leading; }));
+  Node& follower = a.role() == Role::leading ? b : a;
+  EXPECT_EQ(submit(follower, job("wk-000011", 2000)), 201);
+  state.set_outage(true);
+  const auto refused = [&](const char* path, const std::string* body) {
+    httplib::Client c("127.0.0.1", follower.port());
+    const auto r = body ? c.Post(path, *body, "application/msgpack") : c.Get(path);
+    return r && r->status == 503 && std::stoi(r->get_header_value("Retry-After")) >= 1;
+  };
+  const std::string body = wire::pack(job("wk-000012", 1)), none;
+  // Once it is known, no submission reaches the state service any more.
+  EXPECT_TRUE(until([&] {
+    const size_t before = state.transactions();
+    for (int i = 0; i < 5; ++i)
+      if (!refused("/v2/runs", &body)) return false;
+    return state.transactions() == before;
+  }));
+  EXPECT_TRUE(refused("/v2/runs/wk-000011", nullptr));
+  EXPECT_TRUE(refused("/v2/runs/wk-000011/abort", &none));
+  state.set_outage(false);
+  EXPECT_EQ(submit(follower, job("wk-000012", 1)), 201);
+}
+
+// A thousand workers keep their connections open; only requests being served take a thread.
+TEST(Server, IdleConnectionsTakeNoThreads) {
+  const auto threads = [] {
+    std::ifstream in("/proc/self/status");
+    for (std::string line; std::getline(in, line);)
+      if (line.rfind("Threads:", 0) == 0) return std::stoi(line.substr(8));
+    return 0;
+  };
+  net::Server server({"127.0.0.1", 0}, 500, 8, 65536,
+                     [&](const httplib::Request& q, httplib::Response& r) {
+                       r.set_content(q.target + q.body, "text/plain");
+                     });
+  ASSERT_TRUE(server.start());
+  const int before = threads();
+  {
+    std::vector<std::unique_ptr<httplib::Client>> clients;
+    for (int round = 0; round < 3; ++round)
+      for (size_t i = 0; i < 200; ++i) {
+        if (round == 0) {
+          clients.push_back(std::make_unique<httplib::Client>("127.0.0.1", server.port()));
+          clients.back()->set_keep_alive(true);
+          clients.back()->set_tcp_nodelay(true);
+        }
+        const auto r = clients[i]->Post("/x", std::to_string(i), "text/plain");
+        ASSERT_TRUE(r);
+        EXPECT_EQ(r->body, "/x" + std::to_string(i));
+      }
+    EXPECT_LE(threads(), before + 8);
+  }
+  server.halt();
+}
+
 TEST(Mesh, ViewsAreExchanged) {
   mesh::View heard;
   net::Server server(
