--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -15,6 +15,9 @@
 // A job whose row moved under us is heard of within a watch; after this something is wrong.
 constexpr double kStaleFor = 10;
 constexpr size_t kMostClosings = 16;
+constexpr double kGatherClosings = 0.5;
+constexpr size_t kLeastClosings = 4;  // at once, whatever is left of the rate of changes
+constexpr double kPutOff = 4;
 }  // namespace
 
 Core::Core(const Settings& settings, std::vector<TypeInfo> types, uint64_t token, double now)
@@ -126,12 +129,20 @@
     for (const std::string& t : job.spec.types)
       if (const Index k = type_names_.find(t); k != kNone) job.types[k] = true;
   }
+  for (const Objective& o : settings_.objectives)
+    if (o.start && o.lot == job.spec.lot) {
+      job.prompt = true;
+      job.start_within.push_back(o.within_s);
+      prompt_images_.insert(job.image);
+    }
+  std::sort(job.start_within.begin(), job.start_within.end());
   job.pages.assign((job.tasks() + job.per - 1) / job.per, kNone);
   for (const auto& [n, c] : row.chunks) {
     if (n >= job.pages.size()) continue;
     job.pages[n] = c.page;
     if (c.page >= pages_.size()) pages_.resize(c.page + 1);
     pages_[c.page].members.insert({i, n});
+    pages_[c.page].prompt = job.prompt;
     pages_[c.page].reserved +=
         ledger::chunk_reserve(id, std::min(job.per, job.tasks() - n * job.per));
     job.top = std::max(job.top, c.chunk.top);
@@ -156,13 +167,6 @@
     }
   }
   job.done_count = job.done.count();
-  for (const Objective& o : settings_.objectives)
-    if (o.start && o.lot == job.spec.lot) {
-      job.prompt = true;
-      job.start_within.push_back(o.within_s);
-      prompt_images_.insert(job.image);
-    }
-  std::sort(job.start_within.begin(), job.start_within.end());
   for (const TypeInfo& t : types_)
     if (const double r = job.spec.each.share_of(t.size); job.share == 0 || r < job.share)
       job.share = r;
@@ -290,27 +294,33 @@
     if (other.number == number) stop_attempt(job, other, grace);
 }
 
-Index Core::page_for(size_t bytes) {
+// Promised starts have pages of their own, so that one write makes many of them durable.
+Index Core::page_for(size_t bytes, bool prompt) {
   const size_t room = ledger::page_room(settings_.value_bytes);
   for (Index i = 0; i < pages_.size(); ++i)
-    if (pages_[i].reserved + bytes <= room) return i;
+    if ((pages_[i].prompt == prompt || pages_[i].members.empty()) &&
+        pages_[i].reserved + bytes <= room) {
+      pages_[i].prompt = prompt;
+      return i;
+    }
   pages_.emplace_back();
+  pages_.back().prompt = prompt;
   return static_cast<Index>(pages_.size() - 1);
 }
 
-void Core::mark_dirty(Job& job, uint32_t task, bool urgent, double now) {
+void Core::mark_dirty(Job& job, uint32_t task, Wait waits, double now) {
   const uint32_t n = job.chunk_of(task);
   if (job.pages[n] == kNone) {
     const size_t bytes =
         ledger::chunk_reserve(job.spec.id, std::min(job.per, job.tasks() - n * job.per));
-    const Index i = page_for(bytes);
+    const Index i = page_for(bytes, job.prompt);
     job.pages[n] = i;
     pages_[i].reserved += bytes;
     pages_[i].members.insert({job.id, n});
   }
   Page& page = pages_[job.pages[n]];
   if (page.dirty_since < 0) page.dirty_since = now;
-  page.urgent = page.urgent || urgent;
+  page.waits = std::min(page.waits, waits);
 }
 
 void Core::end_attempt(Job& job, uint32_t task, Cause cause, double now, const char* why) {
@@ -328,7 +338,7 @@
     return;
   }
   // A task that has to run again waits for this write.
-  mark_dirty(job, task, cause != Cause::done, now);
+  mark_dirty(job, task, cause != Cause::done ? Wait::again : Wait::nobody, now);
   after_end(job, a, now);
 }
 
@@ -492,7 +502,7 @@
   f.txn.changes = {{ledger::page_key(i), false, ledger::encode(out), 0}};
   page.in_flight = true;
   page.dirty_since = left_out ? now : -1;
-  page.urgent = left_out;
+  page.waits = left_out ? Wait::start : Wait::nobody;
   if (left_out) page.retry_at = now + 0.1;
   PendingTransaction p{id, f.txn, false};
   flights_[id] = std::move(f);
@@ -505,7 +515,8 @@
   f.kind = Flight::Kind::closing;
   uint64_t id = 0;
   for (Index i : closing_) {
-    if (f.jobs.size() >= std::min({settings_.txn_ops, kMostClosings, std::max<size_t>(1, room)}))
+    if (f.jobs.size() >=
+        std::min({settings_.txn_ops, kMostClosings, std::max(kLeastClosings, room)}))
       break;
     Job& job = *jobs_[i];
     if (job.state != JobState::open || job.stale() || job.retry_at > now || job.flights > 0)
@@ -542,21 +553,27 @@
       f.sent_again = true;
       return PendingTransaction{id, f.txn, true};
     }
-  // Starts and what has to start again first: somebody waits for them. Mere ends are gathered, as
-  // their workers list them until then.
+  // By who waits for it, then by age. Mere ends are gathered, as their workers list them until
+  // then.
   Index pick = kNone;
+  // What has waited for long goes first, whoever waits for it: nothing is put off for ever.
+  const auto key = [now](const Page& p) {
+    return std::make_pair(now - p.dirty_since > kPutOff ? Wait::promised : p.waits, p.dirty_since);
+  };
   for (Index i = 0; i < pages_.size(); ++i) {
     const Page& p = pages_[i];
     if (p.dirty_since < 0 || p.in_flight || p.retry_at > now) continue;
-    if (!p.urgent && now - p.dirty_since < kGatherEnds) continue;
-    if (pick == kNone || std::make_pair(!p.urgent, p.dirty_since) <
-                             std::make_pair(!pages_[pick].urgent, pages_[pick].dirty_since))
-      pick = i;
-  }
-  const bool starts = pick != kNone && pages_[pick].urgent;
-  closing_turn_ = !closing_turn_;
-  if (closing_turn_ || !starts)
+    if (p.waits == Wait::nobody && now - p.dirty_since < kGatherEnds) continue;
+    if (pick == kNone || key(p) < key(pages_[pick])) pick = i;
+  }
+  // Jobs are closed together: their users have to be told within 3 s.
+  if (closing_.empty()) closing_since_ = -1;
+  if (!closing_.empty() && closing_since_ < 0) closing_since_ = now;
+  const bool starts = pick != kNone && pages_[pick].waits < Wait::again;
+  if (!closing_.empty() && (!starts || now - closing_since_ > kGatherClosings)) {
+    closing_since_ = now;
     if (auto t = closing_transaction(now, room)) return t;
+  }
   if (pick != kNone) return page_transaction(pick, now);
   return fleet_transaction(now);
 }
@@ -628,7 +645,7 @@
     // ordered; all others are written anew.
     if (r.outcome == Outcome::refused) page.retry_at = now + 0.25;
     if (page.dirty_since < 0) page.dirty_since = now;
-    page.urgent = true;
+    page.waits = Wait::promised;
     for (Index j : f.jobs)
       if (Job* job = find(j); job && (job->stale() || job->over())) void_proposals(*job, true);
     return;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -86,6 +86,10 @@
   uint32_t chunk_of(uint32_t task) const { return task / per; }
 };
 
+// Who waits for a change to become durable, most impatient first: tasks promised a prompt start,
+// other starts, tasks that have to start again, nobody.
+enum class Wait : uint8_t { promised, start, again, nobody };
+
 // A row of the ledger that holds chunks of several jobs; at most one write of it is under way.
 struct Page {
   uint64_t stamp = 0;
@@ -93,7 +97,8 @@
   size_t reserved = 0;                           // bytes set aside for its chunks
   std::set<std::pair<Index, uint32_t>> members;  // (job, chunk)
   double dirty_since = -1;                       // negative: nothing to write
-  bool urgent = false;                           // somebody waits for what is to be written
+  Wait waits = Wait::nobody;                     // for what is to be written
+  bool prompt = false;  // holds chunks of classes that are promised a prompt start, and only these
   double retry_at = 0;
 };
 
@@ -255,8 +260,8 @@
   void release(Job& job, uint32_t task);  // forget an attempt whose removal is durable
   void stop_attempt(Job& job, Attempt& a, double grace);
   void stop_with_gang(Job& job, Attempt& a, double grace);
-  void mark_dirty(Job& job, uint32_t task, bool urgent, double now);
-  Index page_for(size_t bytes);
+  void mark_dirty(Job& job, uint32_t task, Wait waits, double now);
+  Index page_for(size_t bytes, bool prompt);
   bool proposal_stands(const Attempt& a) const;
   void void_proposals(Job& job, bool all);
   std::optional<PendingTransaction> page_transaction(Index page, double now);
@@ -404,7 +409,7 @@
   std::map<uint64_t, Flight> flights_;
   std::vector<Page> pages_;
   std::set<Index> closing_;    // jobs all of whose tasks are done
-  bool closing_turn_ = false;  // closings and starts take turns
+  double closing_since_ = -1;  // the oldest of them
 
   std::vector<TypeState> type_state_;
   double next_sample_ = 0;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -265,7 +265,7 @@
   m.tasks.emplace_back(job.id, task);
   m.used += job.spec.each;
   team_used_[job.team] += job.spec.each;
-  mark_dirty(job, task, true, now);
+  mark_dirty(job, task, job.prompt ? Wait::promised : Wait::start, now);
   spdlog::debug("task {}/{} attempt {}: proposed for {}", job.spec.id, task, number, m.name);
 }
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -269,7 +269,7 @@
   if (config_.nodes <= 1) return state_budgets_.writes.set_share(0.95);
   constexpr double kAll = 0.95;
   // Submissions come one by one: what a node asked for in the last second says little of the next.
-  const double least = 0.3 / (config_.nodes - 1);
+  const double least = 0.2 / (config_.nodes - 1);
   const double now = steady_now(), rate = std::max(1e-3, config_.write_rps);
   const std::string leader = leads() ? config_.core.label : highest_leader_;
   double followers = 0, leaders = 0;
