--- a/src/core/core.h
+++ b/src/core/core.h
@@ -72,6 +72,7 @@
   double share = 0;                  // of the smallest machine that a task takes
   std::vector<double> start_within;  // what its class is promised of starting
   bool guaranteed = false;           // within its team's guarantee, as of this round
+  double urgency = 0;                // as of this round, smallest first
   double last_start = -1;            // a task of it was last placed
   double aborted_at = -1;
   double not_before = 0;     // back-off after errors of its own
@@ -287,7 +288,7 @@
 
   // -- placement.cpp
   void place(double now);
-  bool place_array(Job& job, double now, int& budget);
+  bool place_array(Job& job, double now, int& budget, bool warm_only);
   bool place_gang(Job& job, double now, int& budget);
   struct Place {
     double score = 0;
@@ -300,7 +301,11 @@
     std::vector<std::pair<Index, uint32_t>> victims;
   };
   // special: the job itself, not the machines' room, may be why there are few.
-  std::vector<Place> places(const Job& job, double now, bool* special = nullptr);
+  std::vector<Place> places(const Job& job, double now, bool* special = nullptr,
+                            bool warm_only = false);
+  bool warm(const Job& job, const Machine& m) const;
+  void claim(const Job& job, const std::vector<Place>& free, double now);
+  void attend(Job& job, double now, int& budget, bool preempt);
   std::vector<Eviction> evictions(const Job& job, double now);
   void gather_open(double now);
   int room_of(const Machine& m) const;
@@ -387,6 +392,7 @@
     double share;
   };
   std::vector<Index> open_;
+  std::vector<std::pair<Index, Amounts>> claims_;  // places kept for gangs, counted as used
   std::vector<Full> full_;
   std::vector<Hopeless> hopeless_;
   Amounts least_;  // component by component, of the waiting tasks
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -43,6 +43,14 @@
 // What a second of image fetch weighs against what is lost by stopping others: a save and a fetch
 // one after the other break most promises of a prompt start.
 constexpr double kFetchCost = 4;
+// A gang that is promised a prompt start keeps free places this soon; all together hold no more
+// than this share of the machines, but for starved ones.
+constexpr double kPromptClaimAfter = 0.5;
+constexpr double kClaimMost = 0.15;
+// In seconds of urgency: how far an array whose image is on a free machine may go before others;
+// and how many arrays are asked.
+constexpr double kWarmWindow = 30;
+constexpr int kWarmJobs = 32;
 // Room is made by stopping others no more often than this.
 constexpr double kPreemptEvery = 0.2;
 
@@ -95,8 +103,8 @@
         now < job->not_before)
       continue;
     const bool late = starved(*job, now);
-    v.push_back({late, job->guaranteed, job->spec.rank,
-                 late ? std::max(job->seen_at, job->last_start) : urgency(*job, now), job->id});
+    job->urgency = late ? std::max(job->seen_at, job->last_start) : urgency(*job, now);
+    v.push_back({late, job->guaranteed, job->spec.rank, job->urgency, job->id});
     least_.cpus = std::min(least_.cpus, job->spec.each.cpus);
     least_.gpus = std::min(least_.gpus, job->spec.each.gpus);
     least_.mem = std::min(least_.mem, job->spec.each.mem);
@@ -186,6 +194,13 @@
   return s + kPackPreference * (1 - filled);
 }
 
+// Whether the job's image is there, or under way for another of its tasks or jobs.
+bool Core::warm(const Job& job, const Machine& m) const {
+  return m.images.count(job.image) ||
+         std::any_of(m.tasks.begin(), m.tasks.end(),
+                     [&](const auto& t) { return jobs_[t.first]->image == job.image; });
+}
+
 // The machines that take work and have room for the smallest waiting task: looked for once a round.
 void Core::gather_open(double now) {
   open_.clear();
@@ -214,7 +229,8 @@
 }
 
 // All places for tasks of the job, cheapest first: one search serves all of its waiting tasks.
-std::vector<Core::Place> Core::places(const Job& job, double now, bool* is_special) {
+std::vector<Core::Place> Core::places(const Job& job, double now, bool* is_special,
+                                      bool warm_only) {
   std::vector<Place> out;
   bool special = job.spec.scatter || !job.attempts.empty() || !job.erred_on.empty();
   for (size_t k = 0; k < open_.size();) {
@@ -236,7 +252,7 @@
       room -= job.spec.each;
       ++slots;
     }
-    if (slots == 0) continue;
+    if (slots == 0 || (warm_only && !warm(job, m))) continue;
     if (!zone_allows(job, m.zone, 1)) continue;
     out.push_back({score(job, m), m.index, slots});
   }
@@ -244,7 +260,7 @@
     return std::tie(a.score, a.machine) < std::tie(b.score, b.machine);
   });
   if (is_special) *is_special = special;
-  if (out.empty() && !special)
+  if (out.empty() && !special && !warm_only)
     full_.push_back({job.spec.each, job.zone, job.types, job.spec.spot, job.spec.one_zone, 1});
   return out;
 }
@@ -269,14 +285,14 @@
   spdlog::debug("task {}/{} attempt {}: proposed for {}", job.spec.id, task, number, m.name);
 }
 
-bool Core::place_array(Job& job, double now, int& budget) {
+bool Core::place_array(Job& job, double now, int& budget, bool warm_only) {
   if (!within_limit(job, 1)) return true;  // its own limit, not the machines, holds it back
   if (known_full(job, 1)) return false;
   const uint64_t number = job.top + 1;
   const bool late = starved(job, now);
   uint32_t most = late ? std::max(kStarvedLeast, job.tasks() / kStarvedShare) : UINT32_MAX;
   size_t began = 0;
-  for (const Place& p : places(job, now)) {
+  for (const Place& p : places(job, now, nullptr, warm_only)) {
     for (uint32_t k = 0; k < p.slots && budget > 0 && most > 0; ++k) {
       if (job.waiting.empty() || !within_limit(job, 1)) break;
       if (job.spec.scatter && !zone_allows(job, machines_[p.machine]->zone, 1)) break;
@@ -341,6 +357,7 @@
     }
   }
   if (best.empty()) {
+    claim(job, all, now);
     if (!special)
       full_.push_back({job.spec.each, job.zone, job.types, job.spec.spot, job.spec.one_zone, n});
     return false;
@@ -353,6 +370,30 @@
   return true;
 }
 
+// Free places that do not suffice for a gang yet are kept for it in this round, in the zone that
+// has most of them: of the few that come free at a time, it would never see enough at once. The
+// most urgent gang comes first in every round, so it always gets on.
+void Core::claim(const Job& job, const std::vector<Place>& free, double now) {
+  const double waited = now - std::max(job.seen_at, job.last_start);
+  const bool late = starved(job, now);
+  if (waited < (job.prompt ? kPromptClaimAfter : kSetAsideAfter) && !late) return;
+  if (!late && job.tasks() * job.share > kClaimMost * static_cast<double>(ready_)) return;
+  std::map<Index, uint32_t> slots;
+  for (const Place& p : free) slots[job.spec.one_zone ? machines_[p.machine]->zone : 0] += p.slots;
+  const auto most = std::max_element(
+      slots.begin(), slots.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+  if (most == slots.end()) return;
+  uint32_t left = job.tasks();
+  for (const Place& p : free) {
+    Machine& m = *machines_[p.machine];
+    if (job.spec.one_zone && m.zone != most->first) continue;
+    for (uint32_t k = 0; k < p.slots && left > 0; ++k, --left) {
+      m.used += job.spec.each;
+      claims_.emplace_back(p.machine, job.spec.each);
+    }
+  }
+}
+
 bool Core::may_stop(const Job& job, const Job& victim) const {
   if (victim.spec.rank < job.spec.rank) return true;
   if (victim.team == job.team || !job.guaranteed) return false;
@@ -544,15 +585,43 @@
   hopeless_.clear();
   const bool preempt = now >= preempt_at_;
   if (preempt) preempt_at_ = now + kPreemptEvery;
+  // Arrays go where their image is first, whichever of the most urgent ones that helps: a fetch
+  // takes as long as many of their tasks run. Within bounds of age, and never before higher ranks.
+  const Job* first = nullptr;
+  int looked = 0;
   for (Index i : order_) {
     if (budget <= 0) break;
     Job& job = *jobs_[i];
     ++work_.jobs_looked_at;
-    const bool placed = job.gang() ? place_gang(job, now, budget) : place_array(job, now, budget);
-    if (placed || !preempt) continue;
-    preempt_for(job, now);
-    set_aside(job, now);
+    if (job.gang() || job.prompt || starved(job, now)) {
+      if (first) continue;  // after arrays that go before it
+      attend(job, now, budget, preempt);
+      continue;
+    }
+    if (!first) first = &job;
+    if (job.spec.rank != first->spec.rank || job.guaranteed != first->guaranteed ||
+        job.urgency > first->urgency + kWarmWindow || ++looked > kWarmJobs)
+      break;
+    place_array(job, now, budget, true);
   }
+  bool after = false;
+  for (Index i : order_) {
+    if (budget <= 0) break;
+    Job& job = *jobs_[i];
+    after = after || &job == first;
+    if (after && !job.waiting.empty()) attend(job, now, budget, preempt);
+  }
+  for (const auto& [m, each] : claims_) machines_[m]->used -= each;
+  claims_.clear();
+}
+
+void Core::attend(Job& job, double now, int& budget, bool preempt) {
+  ++work_.jobs_looked_at;
+  const bool placed =
+      job.gang() ? place_gang(job, now, budget) : place_array(job, now, budget, false);
+  if (placed || !preempt) return;
+  preempt_for(job, now);
+  set_aside(job, now);
 }
 
 }  // namespace rookdyke
