A promised start that a fetch would break waits for a machine that has the image

Cause (debug logs): what was left of late starts were fetches of large images (startup p50 16 to 18 s of late ones) on whatever machine was free, while others had the image.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -289,7 +289,8 @@
   // -- placement.cpp
   void place(double now);
   bool place_array(Job& job, double now, int& budget, bool warm_only);
-  bool place_gang(Job& job, double now, int& budget);
+  bool place_gang(Job& job, double now, int& budget, bool warm_only);
+  bool needs_warm(const Job& job, double now) const;
   struct Place {
     double score = 0;
     Index machine = kNone;
@@ -316,7 +317,7 @@
   bool within_limit(const Job& job, uint32_t count) const;
   double score(const Job& job, const Machine& m) const;
   void propose(Job& job, uint32_t task, uint64_t number, Index machine, double now);
-  void preempt_for(Job& job, double now);
+  void preempt_for(Job& job, double now, bool warm_only);
   bool may_stop(const Job& job, const Job& victim) const;
   double frees_at(const Job& job, const Machine& m, double now) const;
   void set_aside(Job& job, double now);
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -51,6 +51,10 @@
 // and how many arrays are asked.
 constexpr double kWarmWindow = 30;
 constexpr int kWarmJobs = 32;
+// What a start takes besides the fetch; and one on a machine that has the image, room being made
+// there.
+constexpr double kStartTime = 1.5;
+constexpr double kWarmStartTime = 3;
 // Room is made by stopping others no more often than this.
 constexpr double kPreemptEvery = 0.2;
 
@@ -194,11 +198,13 @@
   return s + kPackPreference * (1 - filled);
 }
 
-// Whether the job's image is there, or under way for another of its tasks or jobs.
+// Whether the job's image is there, or under way for another of its tasks or jobs; for a promised
+// start it has to be there.
 bool Core::warm(const Job& job, const Machine& m) const {
-  return m.images.count(job.image) ||
-         std::any_of(m.tasks.begin(), m.tasks.end(),
-                     [&](const auto& t) { return jobs_[t.first]->image == job.image; });
+  if (m.images.count(job.image)) return true;
+  return !job.prompt && std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) {
+    return jobs_[t.first]->image == job.image;
+  });
 }
 
 // The machines that take work and have room for the smallest waiting task: looked for once a round.
@@ -308,7 +314,23 @@
   return job.waiting.empty() || budget <= 0 || most == 0 || !within_limit(job, 1);
 }
 
-bool Core::place_gang(Job& job, double now, int& budget) {
+// Whether a start that has to fetch its image would surely break the promise that is due next,
+// while one on a machine that has it can still keep it. Then only such a machine will do, for as
+// long.
+bool Core::needs_warm(const Job& job, double now) const {
+  const double age = now - job.seen_at;
+  if (!job.attempts.empty()) return false;
+  for (const double within : job.start_within) {
+    if (within <= age) continue;
+    double fetch = 0;
+    for (const TypeInfo& t : types_)
+      fetch = std::max(fetch, job.spec.image_gb / std::max(0.01, t.fetch_gb_per_s));
+    return within - age < fetch + kStartTime && within - age > kWarmStartTime;
+  }
+  return false;
+}
+
+bool Core::place_gang(Job& job, double now, int& budget, bool warm_only) {
   if (!job.attempts.empty()) {
     // Either the old attempt has not left entirely, or it gathers and lacks some: replacements
     // join it under its number (invariant 4's exception).
@@ -328,7 +350,7 @@
   if (known_full(job, job.tasks())) return false;
   // All or none: the cheapest places, in the zone whose dearest one is cheapest.
   bool special = false;
-  const std::vector<Place> all = places(job, now, &special);
+  const std::vector<Place> all = places(job, now, &special, warm_only);
   const uint32_t n = job.tasks();
   std::vector<Index> zones{kNone}, best;
   if (job.spec.one_zone) {
@@ -358,7 +380,7 @@
   }
   if (best.empty()) {
     claim(job, all, now);
-    if (!special)
+    if (!special && !warm_only)
       full_.push_back({job.spec.each, job.zone, job.types, job.spec.spot, job.spec.one_zone, n});
     return false;
   }
@@ -458,7 +480,7 @@
 }
 
 // Makes room for the job's tasks: for a gang for all or for none.
-void Core::preempt_for(Job& job, double now) {
+void Core::preempt_for(Job& job, double now, bool warm_only) {
   // Room that is being made already is not made twice.
   uint32_t pending = 0;
   for (const auto& m : machines_)
@@ -474,6 +496,8 @@
       }))
     return;
   std::vector<Eviction> all = evictions(job, now);
+  if (warm_only)
+    std::erase_if(all, [&](const Eviction& e) { return !warm(job, *machines_[e.machine]); });
   if (job.spec.one_zone && job.gang() && job.attempts.empty()) {
     std::map<Index, uint32_t> found;
     Index zone = kNone;
@@ -485,6 +509,7 @@
     std::erase_if(all, [&](const Eviction& e) { return machines_[e.machine]->zone != zone; });
   }
   if (all.empty() || (job.gang() && all.size() < more)) {
+    if (warm_only) return;
     hopeless_.push_back({job.spec.rank, job.zone, job.types, job.spec.spot, job.spec.one_zone,
                          job.gang() ? more : 1, job.share});
     return;
@@ -617,11 +642,12 @@
 
 void Core::attend(Job& job, double now, int& budget, bool preempt) {
   ++work_.jobs_looked_at;
-  const bool placed =
-      job.gang() ? place_gang(job, now, budget) : place_array(job, now, budget, false);
+  const bool warm_only = needs_warm(job, now);
+  const bool placed = job.gang() ? place_gang(job, now, budget, warm_only)
+                                 : place_array(job, now, budget, warm_only);
   if (placed || !preempt) return;
-  preempt_for(job, now);
-  set_aside(job, now);
+  preempt_for(job, now, warm_only);
+  if (!warm_only) set_aside(job, now);
 }
 
 }  // namespace rookdyke
