--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -49,7 +49,7 @@
 constexpr double kClaimMost = 0.15;
 // In seconds of urgency: how far an array whose image is on a free machine may go before others;
 // and how many arrays are asked.
-constexpr double kWarmWindow = 30;
+constexpr double kWarmWindow = 80;
 constexpr int kWarmJobs = 32;
 // What a start takes besides the fetch; and one on a machine that has the image, room being made
 // there.
