A leader tells its siblings which machines hold which images

Cause: a new leader knew no images, so after each failover promised starts and arrays fetched anew. A hint only: no rule rests on it.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -188,6 +188,10 @@
   void set_day_offset(double s) { day_offset_ = s; }
   // Takes over: everything committed so far, as the mirror holds it behind a read barrier.
   void load(const Mirror& mirror, double now);
+  // Which images machines hold, as far as is known: a hint for a successor, which would otherwise
+  // have everything fetched anew. Nothing correct rests on it.
+  nlohmann::json image_hints() const;
+  void take_image_hints(const nlohmann::json& hints, double now);
   // A job's row appeared or changed (users' submissions and aborts).
   void on_job_row(const MirrorJob& row, const std::string& id, double now);
   void set_prices(const std::vector<TypeInfo>& types);
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -73,6 +73,46 @@
   }
 }
 
+nlohmann::json Core::image_hints() const {
+  using nlohmann::json;
+  std::map<Index, size_t> place;
+  json images = json::array(), machines = json::object();
+  for (const auto& m : machines_) {
+    if (m->state != MachineState::ready || m->images.empty()) continue;
+    std::vector<std::pair<double, Index>> by_use;
+    for (const auto& [image, e] : m->images) {
+      if (place.try_emplace(image, place.size()).second)
+        images.push_back(json::array({image_names_.name(image), e.second}));
+      by_use.emplace_back(e.first, image);
+    }
+    std::sort(by_use.begin(), by_use.end());
+    json list = json::array();  // least recently used first
+    for (const auto& [at, image] : by_use) list.push_back(place.at(image));
+    machines[m->name] = std::move(list);
+  }
+  return {{"images", std::move(images)}, {"machines", std::move(machines)}};
+}
+
+void Core::take_image_hints(const nlohmann::json& hints, double now) {
+  try {
+    std::vector<std::pair<Index, double>> images;
+    for (const auto& e : hints.at("images"))
+      images.emplace_back(image_names_.intern(e.at(0).get<std::string>()), e.at(1).get<double>());
+    for (const auto& [name, list] : hints.at("machines").items()) {
+      const Index i = machine_names_.find(name);
+      if (i == kNone) continue;
+      double used = now - static_cast<double>(list.size());
+      for (const auto& k : list) {
+        const auto& [image, gb] = images.at(k.get<size_t>());
+        machines_[i]->images[image] = {used, gb};
+        used += 1;
+      }
+    }
+  } catch (const std::exception& e) {
+    spdlog::debug("image hints cannot be read: {}", e.what());
+  }
+}
+
 void Core::judge_error(Machine& m, Job& job, double now) {
   job.erred_on.insert(m.index);
   ++job.errors;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -19,6 +19,7 @@
 // A doubtful leader that hears no sibling either for this long is likelier cut off than a witness
 // of an outage: it leaves its workers to whom the others elect.
 constexpr double kAloneAfter = 5;
+constexpr double kHintsEvery = 5;
 constexpr double kNeedFresh = 6;  // what a sibling said of its need counts this long
 constexpr size_t kMaxConnections = 4000;
 constexpr size_t kApiThreads = 160;  // requests served at once; users' wait for the state service
@@ -63,7 +64,7 @@
       config_.bind, most, kApiThreads, 64 * 1024,
       [this](const httplib::Request& q, httplib::Response& r) { serve(q, r); });
   mesh_ = std::make_unique<net::Server>(
-      config_.mesh, 64, kMeshThreads, 64 * 1024,
+      config_.mesh, 64, kMeshThreads, 256 * 1024,
       [this](const httplib::Request& q, httplib::Response& r) { serve_mesh(q, r); });
 }
 
@@ -345,6 +346,7 @@
       std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() -
       now);
   core_->load(mirror_, now);
+  if (image_hints_token_ > 0) core_->take_image_hints(image_hints_, now);
   highest_token_ = std::max(highest_token_, token_);
   highest_leader_ = config_.core.label;
   set_role(Role::leading, "elected with token " + std::to_string(token_));
@@ -632,6 +634,10 @@
   std::lock_guard lock(mutex_);
   siblings_at_ = steady_now();
   if (v.state_ok) siblings_ok_at_ = steady_now();
+  if (!v.images.is_null() && v.token >= image_hints_token_) {
+    image_hints_ = v.images;
+    image_hints_token_ = v.token;
+  }
   needs_[v.label] = {std::clamp(v.writes, 0.0, 1e6), steady_now()};
   if (v.token <= highest_token_) return;
   highest_token_ = v.token;
@@ -644,10 +650,16 @@
 void Node::mesh_loop() {
   std::vector<std::unique_ptr<mesh::Peer>> peers;
   for (const Sibling& s : config_.siblings) peers.push_back(std::make_unique<mesh::Peer>(s));
+  double next_hints = 0;
   while (!stop_) {
+    nlohmann::json images;
     {
       std::lock_guard lock(mutex_);
       const double now = steady_now();
+      if (role_ == Role::leading && core_ && now >= next_hints) {
+        next_hints = now + kHintsEvery;
+        images = core_->image_hints();
+      }
       const double asked = state_budgets_.writes.asked();
       const double past = std::max(0.2, now - need_at_);
       need_at_ = now;
@@ -658,7 +670,9 @@
     }
     for (auto& p : peers) {
       if (stop_) return;
-      if (auto v = p->exchange(view())) hear(*v);
+      mesh::View ours = view();
+      ours.images = images;
+      if (auto v = p->exchange(ours)) hear(*v);
     }
     std::unique_lock lock(mutex_);
     nap(lock, mesh_cv_, 1.0);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -128,6 +128,8 @@
   struct Need {
     double writes = 0, at = -1e9;
   };
+  nlohmann::json image_hints_;         // the latest that a leader told
+  uint64_t image_hints_token_ = 0;     // which one
   std::map<std::string, Need> needs_;  // of changes a second, by sibling
   double need_ = 0;                    // our own
   double need_at_ = 0;
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -5,11 +5,13 @@
 using nlohmann::json;
 
 json encode(const View& v) {
-  return {{"label", v.label},
-          {"leader", v.leader},
-          {"token", v.token},
-          {"state_ok", v.state_ok},
-          {"writes", v.writes}};
+  json out = {{"label", v.label},
+              {"leader", v.leader},
+              {"token", v.token},
+              {"state_ok", v.state_ok},
+              {"writes", v.writes}};
+  if (!v.images.is_null()) out["images"] = v.images;
+  return out;
 }
 
 std::optional<View> decode(const std::string& text) {
@@ -22,6 +24,7 @@
     j.at("token").get_to(v.token);
     j.at("state_ok").get_to(v.state_ok);
     v.writes = j.value("writes", 0.0);
+    if (j.contains("images")) v.images = j.at("images");
     return v;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -23,6 +23,7 @@
   uint64_t token = 0;     // the leader's
   bool state_ok = false;  // the state service answered lately
   double writes = 0;      // changes a second it has use for
+  nlohmann::json images;  // from the leader, now and then: which machines hold which images
 };
 
 nlohmann::json encode(const View& v);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,5 +1,7 @@
 // The forecast, the ledger's rows and the mirror, by themselves.
 
+#include "core/core.h"
+
 #include <gtest/gtest.h>
 
 #include "core/forecast.h"
@@ -148,6 +150,100 @@
   EXPECT_FALSE(m.answer("wk-000002"));
 }
 
+TEST(Core, ImageHintsReachASuccessor) {
+  TypeInfo type;
+  type.name = "box";
+  type.size = {16, 4, 64};
+  type.cache_gb = 100;
+  type.zones = {"a"};
+  Settings settings;
+  settings.zones = {"a"};
+  const std::vector<ListedMachine> list = {
+      {"m-1", "h:1", "box", "a", false, ListedMachine::State::running, 10}};
+  Report report;
+  report.machine = "m-1";
+  report.addr = "h:1";
+  report.type = "box";
+  report.zone = "a";
+  report.session = report.seq = 1;
+  report.token = 7;
+  const auto hints = nlohmann::json::parse(
+      R"({"images":[["x",4.0],["y",6.0]],"machines":{"m-1":[1,0],"m-unknown":[0]}})");
+  Core core(settings, {type}, 7, 0);
+  core.on_machine_list(list, 0, 0);
+  core.take_image_hints(hints, 5);
+  core.on_report(report, 6);
+  const nlohmann::json told = core.image_hints();
+  ASSERT_EQ(told.at("machines").size(), 1u);
+  // The least recently used first: y, then x.
+  std::vector<std::string> order;
+  for (const auto& k : told.at("machines").at("m-1"))
+    order.push_back(told.at("images").at(k.get<size_t>()).at(0).get<std::string>());
+  EXPECT_EQ(order, (std::vector<std::string>{"y", "x"}));
+  core.take_image_hints({{"images", 3}}, 7);  // nonsense changes nothing
+  EXPECT_EQ(core.image_hints(), told);
+}
+
+// A copy of a job's row that comes after the job is over must not bring it back.
+TEST(Core, AnOverJobStaysOver) {
+  TypeInfo type;
+  type.name = "box";
+  type.size = {16, 4, 64};
+  type.zones = {"a"};
+  Settings settings;
+  settings.zones = {"a"};
+  settings.teams = {{"t", 0, 0, 0, 0}};
+  Core core(settings, {type}, 7, 0);
+  MirrorJob row;
+  row.stamp = 3;
+  row.row.tasks = 1;
+  row.row.per = 1;
+  row.row.spec = JobSpec{};
+  row.row.spec->team = "t";
+  core.on_job_row(row, "wk-000001", 1);
+  ASSERT_TRUE(core.find_job("wk-000001"));
+  MirrorJob over = row;
+  over.stamp = 5;
+  over.row.standing = ledger::Standing::aborted;
+  core.on_job_row(over, "wk-000001", 2);
+  EXPECT_FALSE(core.find_job("wk-000001"));
+  core.on_job_row(row, "wk-000001", 3);
+  EXPECT_FALSE(core.find_job("wk-000001"));
+}
+
+// A report that its worker sent before it knew our token shows no life and is given no orders.
+TEST(Core, AReportWithAnOlderTokenProvesNothing) {
+  TypeInfo type;
+  type.name = "box";
+  type.size = {16, 4, 64};
+  type.zones = {"a"};
+  Settings settings;
+  settings.zones = {"a"};
+  Core core(settings, {type}, 7, 0);
+  Report r;
+  r.machine = "m-1";
+  r.addr = "h:1";
+  r.type = "box";
+  r.zone = "a";
+  r.session = 1;
+  r.seq = 4;
+  r.token = 6;
+  r.notice_s = 3;
+  r.tasks = {{"wk-000009", 0, 1, Seen::running, Cause::none, false}};
+  EXPECT_TRUE(core.on_report(r, 1).orders.empty());
+  EXPECT_EQ(core.machines().at(0)->state, MachineState::booting);
+  EXPECT_FALSE(core.machines().at(0)->heard);
+  EXPECT_LT(core.machines().at(0)->recall_at, 0);
+  r.token = 7;
+  r.seq = 5;
+  r.notice_s = -1;
+  EXPECT_EQ(core.on_report(r, 2).orders.size(), 1u);  // what the ledger does not know is stopped
+  EXPECT_TRUE(core.machines().at(0)->heard);
+  r.seq = 4;
+  EXPECT_EQ(core.on_report(r, 9).verdict, ReportReply::Verdict::old);
+  EXPECT_DOUBLE_EQ(core.machines().at(0)->last_report, 2);
+}
+
 TEST(States, TerminalStatesAreTerminal) {
   for (const JobState to : {JobState::open, JobState::closing, JobState::done})
     EXPECT_FALSE(allowed(JobState::aborted, to));
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -423,15 +423,17 @@
   net::Server server(
       {"127.0.0.1", 0}, 4, 4, 65536, [&](const httplib::Request& q, httplib::Response& r) {
         heard = mesh::decode(q.body).value_or(mesh::View{});
-        r.set_content(mesh::encode({"n1", "n2", 9, true, 2.5}).dump(), "application/json");
+        r.set_content(mesh::encode({"n1", "n2", 9, true, 2.5, {{"images", 1}}}).dump(),
+                      "application/json");
       });
   ASSERT_TRUE(server.start());
   {
     mesh::Peer peer({"n1", {"127.0.0.1", server.port()}});
-    const auto v = peer.exchange({"n0", "n0", 4, false, 0});
+    const auto v = peer.exchange({"n0", "n0", 4, false, 0, {}});
     ASSERT_TRUE(v);
     EXPECT_EQ(v->token, 9u);
     EXPECT_EQ(v->leader, "n2");
+    EXPECT_EQ(v->images.at("images"), 1);
   }
   server.halt();
   EXPECT_EQ(heard.token, 4u);
