--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -240,7 +240,7 @@
     if (j && j->row.standing != Standing::open)  // final: no newer answer can exist
       return reply(res, 200, wire::job_answer(id, *mirror_.answer(id), true));
   }
-  // Invariant 6: anything else could be older than what another node has said.
+  // Invariant 5: anything else could be older than what another node has said.
   if (!barrier(kPollPatience)) return later(res, "the ledger does not answer");
   std::lock_guard lock(mutex_);
   const auto a = mirror_.answer(id);
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -18,6 +18,7 @@
 constexpr double kGatherClosings = 0.5;
 constexpr size_t kLeastClosings = 4;  // at once, whatever is left of the rate of changes
 constexpr double kPutOff = 4;
+constexpr double kFleetPutOff = 6;
 }  // namespace
 
 Core::Core(const Settings& settings, std::vector<TypeInfo> types, uint64_t token, double now)
@@ -574,8 +575,12 @@
     closing_since_ = now;
     if (auto t = closing_transaction(now, room)) return t;
   }
+  // The rented list too is put off only so long: a successor would count machines that are gone, and
+  // hire none in their place until the cloud's list shows it.
+  if (pick == kNone || now - fleet_written_ > kFleetPutOff)
+    if (auto f = fleet_transaction(now)) return f;
   if (pick != kNone) return page_transaction(pick, now);
-  return fleet_transaction(now);
+  return std::nullopt;
 }
 
 void Core::on_result(uint64_t id, const ledger::Result& r, double now) {
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -212,7 +212,7 @@
   count =
       std::min({count, 50.0, std::max(1.0, std::ceil(gap / std::max<size_t>(1, per_zone.size())))});
   Hire h;
-  // Invariant 5: the token makes the name unique among leaders, the number within this one.
+  // Invariant 4: the token makes the name unique among leaders, the number within this one.
   h.name = "h-" + std::to_string(token_) + "-" + std::to_string(++next_hire_);
   h.type = type.name;
   h.zone = zone_names_.name(zone);
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -1,6 +1,6 @@
 #pragma once
 // A node's copy of the ledger's rows, fed by the watch. Polls are answered from it, but only
-// after a read barrier (invariant 6); a new leader is built from it.
+// after a read barrier (invariant 5); a new leader is built from it.
 
 #include <cstdint>
 #include <map>
