--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -575,8 +575,8 @@
     closing_since_ = now;
     if (auto t = closing_transaction(now, room)) return t;
   }
-  // The rented list too is put off only so long: a successor would count machines that are gone, and
-  // hire none in their place until the cloud's list shows it.
+  // The rented list too is put off only so long: a successor would count machines that are gone,
+  // and hire none in their place until the cloud's list shows it.
   if (pick == kNone || now - fleet_written_ > kFleetPutOff)
     if (auto f = fleet_transaction(now)) return f;
   if (pick != kNone) return page_transaction(pick, now);
