--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -112,6 +112,59 @@
   EXPECT_TRUE(checker.is_broken("forgotten"));
 }
 
+// After all troubles 75 s of silence about a job is too much, even if nobody else is answered
+// either.
+TEST_F(CheckerTest, ForgottenAfterAllTroubles) {
+  checker.troubles_over = 100;
+  checker.told(1, "wk-000001", "pending", false);
+  for (int t = 5; t < 100; t += 5) checker.poll_failed(t, "wk-000001", false);
+  for (int t = 100; t <= 175; t += 5) checker.poll_failed(t, "wk-000001", false);
+  EXPECT_FALSE(checker.is_broken("forgotten"));
+  checker.poll_failed(176, "wk-000001", false);
+  EXPECT_TRUE(checker.is_broken("forgotten"));
+}
+
+TEST_F(CheckerTest, AnAnswerEndsTheSilence) {
+  checker.troubles_over = 0;
+  checker.told(1, "wk-000001", "pending", false);
+  for (int t = 5; t <= 70; t += 5) checker.poll_failed(t, "wk-000001", false);
+  checker.told(72, "wk-000001", "pending", false);
+  for (int t = 75; t <= 145; t += 5) checker.poll_failed(t, "wk-000001", false);
+  EXPECT_FALSE(checker.is_broken("forgotten"));
+}
+
+// Shares: half of a class, of a team and of a class's largest jobs has to be done, and these begin
+// within the time.
+TEST_F(CheckerTest, Shares) {
+  JobSpec small = job("wk-000002"), large = job("wk-000003"), other = job("wk-000004");
+  small.lot = large.lot = "x";
+  large.tasks = 4;
+  other.lot = "y";
+  for (const JobSpec& s : {small, large, other}) checker.submitted(0, s);
+  const auto finish = [&](const JobSpec& s) {
+    for (uint32_t t = 0; t < s.tasks; ++t) checker.completed(s.id, t);
+  };
+  const auto says = [&](const std::string& what) {
+    for (const std::string& u : checker.unfair(240))
+      if (u.find(what) != std::string::npos) return true;
+    return false;
+  };
+  checker.starts(10, "wk-000001", 0, at("m1"));
+  checker.starts(10, "wk-000004", 0, at("m1"));
+  finish(job("wk-000001"));
+  finish(other);
+  EXPECT_TRUE(says("class x"));
+  EXPECT_FALSE(says("class y"));
+  EXPECT_TRUE(says("the largest of x: 0 of 1"));
+  EXPECT_TRUE(says("wk-000003, of the largest of x"));
+  finish(small);
+  EXPECT_FALSE(says("class x")) << "one of two is half";
+  checker.starts(241, "wk-000003", 0, at("m2"));
+  finish(large);
+  EXPECT_FALSE(says("the largest of x:"));
+  EXPECT_TRUE(says("wk-000003, of the largest of x")) << "it began a second late";
+}
+
 TEST_F(CheckerTest, Invented) {
   checker.told(1, "wk-000009", "pending", false);
   EXPECT_TRUE(checker.is_broken("invented"));
