One place each for free room, fetch time, a chunk's size and a fleet row's number; twins merged

No behaviour changes: holds_cancelled serves both of its checks, the lull counts machines in one pass, and place_array asks zone_allows once.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -144,8 +144,7 @@
     if (c.page >= pages_.size()) pages_.resize(c.page + 1);
     pages_[c.page].members.insert({i, n});
     pages_[c.page].prompt = job.prompt;
-    pages_[c.page].reserved +=
-        ledger::chunk_reserve(id, std::min(job.per, job.tasks() - n * job.per));
+    pages_[c.page].reserved += job.chunk_bytes(n);
     job.top = std::max(job.top, c.chunk.top);
     for (const auto& [a, b] : c.chunk.done.ranges())
       for (uint32_t t = a; t <= b; ++t) job.done.add(t);
@@ -265,9 +264,7 @@
     if (job.pages[n] == kNone) continue;
     Page& page = pages_[job.pages[n]];
     page.members.erase({id, n});
-    page.reserved -=
-        std::min(page.reserved,
-                 ledger::chunk_reserve(job.spec.id, std::min(job.per, job.tasks() - n * job.per)));
+    page.reserved -= std::min(page.reserved, job.chunk_bytes(n));
   }
   closing_.erase(id);
   finished_[id] = true;
@@ -312,8 +309,7 @@
 void Core::mark_dirty(Job& job, uint32_t task, Wait waits, double now) {
   const uint32_t n = job.chunk_of(task);
   if (job.pages[n] == kNone) {
-    const size_t bytes =
-        ledger::chunk_reserve(job.spec.id, std::min(job.per, job.tasks() - n * job.per));
+    const size_t bytes = job.chunk_bytes(n);
     const Index i = page_for(bytes, job.prompt);
     job.pages[n] = i;
     pages_[i].reserved += bytes;
@@ -456,7 +452,7 @@
     e.job = job.spec.id;
     e.n = n;
     e.chunk.top = job.top;
-    const uint32_t from = n * job.per, to = std::min(job.tasks(), from + job.per);
+    const uint32_t from = n * job.per, to = from + job.chunk_tasks(n);
     for (const auto& [a, b] : job.done.ranges()) {
       if (b < from || a >= to) continue;
       for (uint32_t t = std::max(a, from); t <= std::min(b, to - 1); ++t) e.chunk.done.add(t);
@@ -628,8 +624,7 @@
         if (applied)
           fleet_stamps_[c.key] = r.revision;
         else
-          fleet_dirty_.insert(
-              static_cast<uint32_t>(std::stoul(c.key.substr(c.key.rfind('/') + 1))));
+          fleet_dirty_.insert(ledger::fleet_row(c.key));
       }
       break;
   }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -85,6 +85,8 @@
   bool over() const { return state == JobState::done || state == JobState::aborted; }
   bool stale() const { return stale_since >= 0; }
   uint32_t chunk_of(uint32_t task) const { return task / per; }
+  uint32_t chunk_tasks(uint32_t n) const { return std::min(per, tasks() - n * per); }
+  size_t chunk_bytes(uint32_t n) const { return ledger::chunk_reserve(spec.id, chunk_tasks(n)); }
 };
 
 // Who waits for a change to become durable, most impatient first: tasks promised a prompt start,
@@ -313,7 +315,8 @@
   void attend(Job& job, double now, int& budget, bool preempt);
   std::vector<Eviction> evictions(const Job& job, double now);
   void gather_open(double now);
-  int room_of(const Machine& m) const;
+  Amounts free_on(const Machine& m) const;
+  bool has_room(const Machine& m) const;
   bool known_full(const Job& job, uint32_t count) const;
   bool takes_work(const Machine& m, double now) const;
   bool may_run(const Job& job, const Machine& m, double now) const;
@@ -350,13 +353,12 @@
   double silence_limit() const;
   double patience() const;
   bool many_silent(double now) const;
-  bool holds_cancelled(const Machine& m) const;
+  bool holds_cancelled(const Machine& m, double now, double longer_than = -1) const;
   void drop_machine(Machine& m, double now, const char* why);
   std::optional<PendingTransaction> fleet_transaction(double now);
   size_t fleet_per_row() const;
   void mark_fleet(const Machine& m);
   void load_fleet(const Mirror& mirror, double now);
-  bool overdue_cancel(const Machine& m, double now) const;
 
   Settings settings_;
   std::vector<TypeInfo> types_;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -57,16 +57,11 @@
 double Core::patience() const { return std::max(silence_limit(), 1.5 * settings_.lease_s); }
 
 // A cancelled job's tasks must be gone in cancel_s: their machine is not waited for.
-bool Core::holds_cancelled(const Machine& m) const {
-  return std::any_of(m.tasks.begin(), m.tasks.end(),
-                     [&](const auto& t) { return jobs_[t.first]->state == JobState::aborted; });
-}
-
-bool Core::overdue_cancel(const Machine& m, double now) const {
+// `longer_than`: only what was cancelled more than so many seconds ago.
+bool Core::holds_cancelled(const Machine& m, double now, double longer_than) const {
   return std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) {
     const Job& job = *jobs_[t.first];
-    return job.state == JobState::aborted &&
-           now - job.aborted_at > kCancelPatience * settings_.cancel_s;
+    return job.state == JobState::aborted && now - job.aborted_at > longer_than;
   });
 }
 
@@ -228,16 +223,14 @@
   for (Index t = 0; t < types_.size(); ++t) {
     TypeState& s = type_state_[t];
     if (s.above_since < 0 || now - s.above_since < settings_.tuning.lull_s) continue;
-    double ordinary = 0;
-    for (const auto& m : machines_)
-      if (m->type == t && !m->spot && counts(*m, now)) ++ordinary;
     const double need =
         std::ceil(s.ordinary.share_of(types_[t].size.times(settings_.tuning.safe_fraction)) - 1e-9);
     std::vector<std::pair<double, Index>> emptiest;
-    size_t total = 0;
+    size_t total = 0, ordinary = 0;
     for (const auto& m : machines_) {
       if (m->type != t || !counts(*m, now)) continue;
       ++total;
+      ordinary += !m->spot;
       // Of equally empty ones, the dearer goes first.
       if (m->state == MachineState::ready)
         emptiest.emplace_back(m->used.share_of(types_[t].size) + (m->spot ? 1e-3 : 0), m->index);
@@ -248,7 +241,7 @@
     for (const auto& [filled, i] : emptiest) {
       if (left <= 0) break;
       Machine& m = *machines_[i];
-      if (!m.spot && ordinary <= need) continue;
+      if (!m.spot && static_cast<double>(ordinary) <= need) continue;
       if (!m.spot) --ordinary;
       --left;
       drain(m, now, "lull");
@@ -294,11 +287,11 @@
       m.unheeded_since = now;
     if (m.state != MachineState::condemned && m.state != MachineState::gone) {
       if (m.unheeded_since >= 0 && !ours &&
-          (now - m.unheeded_since > kUnheededFor || holds_cancelled(m))) {
+          (now - m.unheeded_since > kUnheededFor || holds_cancelled(m, now))) {
         condemn(m, "takes up nothing of what it is answered");
         continue;
       }
-      if (overdue_cancel(m, now)) {
+      if (holds_cancelled(m, now, kCancelPatience * settings_.cancel_s)) {
         condemn(m, "holds tasks of a cancelled job");
         continue;
       }
@@ -322,7 +315,7 @@
       case MachineState::draining:
         if (m.recall_at >= 0 && now > m.recall_at + 1 && silent > 1.5 * settings_.report_s) {
           condemn(m, "taken back");
-        } else if (silent > (many_silent_ && !holds_cancelled(m) ? patience() : quiet)) {
+        } else if (silent > (many_silent_ && !holds_cancelled(m, now) ? patience() : quiet)) {
           // Silence proves nothing; the cloud's answer to returning it does (invariant 3).
           condemn(m, "silent");
         } else if (m.unlisted_at >= 0 && silent > 2 * settings_.report_s) {
@@ -499,7 +492,7 @@
 void Core::load_fleet(const Mirror& mirror, double now) {
   for (const auto& [key, row] : mirror.fleet()) {
     fleet_stamps_[key] = row.first;
-    fleet_dirty_.insert(static_cast<uint32_t>(std::stoul(key.substr(key.rfind('/') + 1))));
+    fleet_dirty_.insert(ledger::fleet_row(key));
     if (!row.second.contains("machines") || !row.second["machines"].is_array()) continue;
     for (const json& e : row.second["machines"]) {
       if (!e.is_array() || e.size() < 4 || !e[0].is_string() || !e[1].is_string() ||
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -7,6 +7,9 @@
 std::string job_key(const std::string& job) { return kJobPrefix + job; }
 std::string page_key(uint32_t n) { return kTaskPrefix + std::to_string(n); }
 std::string fleet_key(uint32_t n) { return kFleetPrefix + std::to_string(n); }
+uint32_t fleet_row(const std::string& key) {
+  return static_cast<uint32_t>(std::stoul(key.substr(key.rfind('/') + 1)));
+}
 
 void TaskSet::add(uint32_t task) {
   auto it = std::lower_bound(ranges_.begin(), ranges_.end(), task,
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -35,6 +35,7 @@
 std::string job_key(const std::string& job);
 std::string page_key(uint32_t n);
 std::string fleet_key(uint32_t n);
+uint32_t fleet_row(const std::string& key);  // the n of such a key
 
 // Tasks of a chunk as sorted disjoint closed ranges.
 class TaskSet {
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -175,7 +175,7 @@
   const TypeInfo& type = types_[m.type];
   double s = 0;
   if (!m.images.count(job.image)) {
-    const double fetch = job.spec.image_gb / std::max(0.01, type.fetch_gb_per_s);
+    const double fetch = type.fetch_s(job.spec.image_gb);
     bool same = false;
     size_t others = 0;
     Index last = kNone;
@@ -192,8 +192,7 @@
   if (job.spec.spot && !m.spot) s += kSpotPreference;
   if (!job.prompt)
     for (const auto& [i, e] : m.images)
-      if (i != job.image && prompt_images_.count(i))
-        s += kLeaveWarm * e.second / std::max(0.01, type.fetch_gb_per_s);
+      if (i != job.image && prompt_images_.count(i)) s += kLeaveWarm * type.fetch_s(e.second);
   const double filled = m.used.share_of(type.size);
   return s + kPackPreference * (1 - filled);
 }
@@ -213,17 +212,18 @@
   full_.clear();
   for (const auto& m : machines_) {
     if (m->state != MachineState::ready || !takes_work(*m, now)) continue;
-    if (room_of(*m) >= 1) open_.push_back(m->index);
+    if (has_room(*m)) open_.push_back(m->index);
   }
 }
 
-// How many of the smallest waiting tasks it holds yet; 0 or 1 is all that is asked.
-int Core::room_of(const Machine& m) const {
+Amounts Core::free_on(const Machine& m) const {
   Amounts room = types_[m.type].size;
   room -= m.used;
-  return least_.fits(room) ? 1 : 0;
+  return room;
 }
 
+bool Core::has_room(const Machine& m) const { return least_.fits(free_on(m)); }
+
 // Whether a search in this round has shown already that there is no room for it.
 bool Core::known_full(const Job& job, uint32_t count) const {
   return std::any_of(full_.begin(), full_.end(), [&](const Full& f) {
@@ -241,7 +241,7 @@
   bool special = job.spec.scatter || !job.attempts.empty() || !job.erred_on.empty();
   for (size_t k = 0; k < open_.size();) {
     const Machine& m = *machines_[open_[k]];
-    if (room_of(m) == 0) {  // filled up in this round
+    if (!has_room(m)) {  // filled up in this round
       open_[k] = open_.back();
       open_.pop_back();
       continue;
@@ -251,8 +251,7 @@
     // What holds for this job alone must not tell other jobs that there is no room.
     special = special || m.reserved_for != kNone || !m.unanswered.empty();
     if (!may_run(job, m, now)) continue;
-    Amounts room = types_[m.type].size;
-    room -= m.used;
+    Amounts room = free_on(m);
     uint32_t slots = 0;
     while (slots < job.waiting.size() && job.spec.each.fits(room)) {
       room -= job.spec.each;
@@ -301,8 +300,7 @@
   for (const Place& p : places(job, now, nullptr, warm_only)) {
     for (uint32_t k = 0; k < p.slots && budget > 0 && most > 0; ++k) {
       if (job.waiting.empty() || !within_limit(job, 1)) break;
-      if (job.spec.scatter && !zone_allows(job, machines_[p.machine]->zone, 1)) break;
-      if (job.spec.one_zone && !zone_allows(job, machines_[p.machine]->zone, 1)) break;
+      if (!zone_allows(job, machines_[p.machine]->zone, 1)) break;
       propose(job, *job.waiting.begin(), number, p.machine, now);
       --budget;
       --most;
@@ -323,8 +321,7 @@
   for (const double within : job.start_within) {
     if (within <= age) continue;
     double fetch = 0;
-    for (const TypeInfo& t : types_)
-      fetch = std::max(fetch, job.spec.image_gb / std::max(0.01, t.fetch_gb_per_s));
+    for (const TypeInfo& t : types_) fetch = std::max(fetch, t.fetch_s(job.spec.image_gb));
     return within - age < fetch + kStartTime && within - age > kWarmStartTime;
   }
   return false;
@@ -441,8 +438,7 @@
     if (m.state != MachineState::ready || !takes_work(m, now) || !may_run(job, m, now)) continue;
     if (m.reserved_for != kNone || !zone_allows(job, m.zone, 1)) continue;
     ++work_.machines_looked_at;
-    Amounts room = types_[m.type].size;
-    room -= m.used;
+    Amounts room = free_on(m);
     victims.clear();
     for (const auto& [j, t] : m.tasks) {
       const Job& v = *jobs_[j];
@@ -470,7 +466,7 @@
     }
     if (!job.spec.each.fits(room)) continue;
     if (!m.images.count(job.image))
-      e.cost += kFetchCost * job.spec.image_gb / std::max(0.01, types_[m.type].fetch_gb_per_s);
+      e.cost += kFetchCost * types_[m.type].fetch_s(job.spec.image_gb);
     out.push_back(std::move(e));
   }
   std::sort(out.begin(), out.end(), [](const Eviction& a, const Eviction& b) {
@@ -530,8 +526,7 @@
 
 // When room for one task of the job will come of itself, by the owners' estimates.
 double Core::frees_at(const Job& job, const Machine& m, double now) const {
-  Amounts room = types_[m.type].size;
-  room -= m.used;
+  Amounts room = free_on(m);
   if (job.spec.each.fits(room)) return now;
   std::vector<std::pair<double, const Job*>> ends;
   for (const auto& [j, t] : m.tasks) {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -82,6 +82,8 @@
   Amounts size;
   double cache_gb = 0, fetch_gb_per_s = 1, price = 0, spot_price = 0, boot_s = 0;
   std::vector<std::string> zones;
+
+  double fetch_s(double gb) const { return gb / std::max(0.01, fetch_gb_per_s); }
 };
 
 struct TeamInfo {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -11,7 +11,7 @@
 // Steady clocks drift apart by up to 0.05%: our count of a lease's time ends early by more.
 constexpr double kDrift = 0.998;
 constexpr double kRest = 12;          // how long a deaf leader leaves elections to the others
-constexpr double kLeaderShare = 0.6;  // of the shared budgets; followers share the rest
+constexpr double kLeaderShare = 0.6;  // of requests to the state service; followers share the rest
 constexpr double kStateFresh = 2.5;   // the state service counts as answering this long
 // A doubtful leader keeps its workers' leases alive no longer than this: no outage that the
 // service is meant to ride out lasts as long, and a cut one must let go some time.
