--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -24,6 +24,10 @@
 constexpr double kQueuePatience = 0.9;
 constexpr size_t kPool = 4;
 constexpr double kHealthPatience = 2.5;
+// An answer that took longer has nobody who waits for it; what it says may be older than what its
+// user has been told since.
+constexpr double kPollTooLate = 2;
+constexpr double kTooLate = 1;  // beyond the time that a request is given
 
 void reply(httplib::Response& res, int status, const json& body) {
   res.status = status;
@@ -140,8 +144,12 @@
     std::unique_lock lock(mutex_);
     const auto a = mirror_.answer(*id);
     lock.unlock();
-    if (a) reply(res, 200, wire::job_answer(*id, *a, false));
-    return a.has_value();
+    if (!a) return false;
+    if (a->standing == Standing::open && steady_now() > deadline + kTooLate)
+      later(res, "too late");  // we stood still: others may have told its user more since
+    else
+      reply(res, 200, wire::job_answer(*id, *a, false));
+    return true;
   };
   auto decided_elsewhere = [&] {  // before any 400 or 422: nobody may have accepted it
     if (!barrier(deadline - steady_now())) {
@@ -233,6 +241,7 @@
 }
 
 void Node::poll(const std::string& id, httplib::Response& res) {
+  const double asked = steady_now();
   if (!wire::valid_job_id(id)) return reply(res, 404, {{"error", "no such job"}});
   {
     std::lock_guard lock(mutex_);
@@ -243,6 +252,8 @@
   // Invariant 5: anything else could be older than what another node has said.
   if (!barrier(kPollPatience)) return later(res, "the ledger does not answer");
   std::lock_guard lock(mutex_);
+  // Invariant 5 again: we may have stood still between the barrier and here.
+  if (steady_now() - asked > kPollTooLate) return later(res, "too late");
   const auto a = mirror_.answer(id);
   if (!a) return reply(res, 404, {{"error", "no such job"}});
   reply(res, 200, wire::job_answer(id, *a, true));
@@ -289,6 +300,11 @@
     lock.unlock();
     return reply(res, 503, {{"error", "cut off"}});
   }
+  // A leader that slept does not know yet whether it still is one: the worker goes on to another.
+  if (leads() && !sure(now)) {
+    lock.unlock();
+    return reply(res, 503, {{"error", "not sure to lead"}});
+  }
   if (leads() && core_ && !core_->lost()) {
     const ReportReply out = core_->on_report(*r, now);
     if (out.verdict != ReportReply::Verdict::deposed) {
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -17,9 +17,10 @@
   http_.set_write_timeout(1, 0);
 }
 
-Client::Answer Client::call(bool post, const std::string& path, const json* body) {
+Client::Answer Client::call(bool post, const std::string& path, const json* body,
+                            const MaySend& may_send) {
   Answer a;
-  if (!budget_.take(1, 3.0)) return a;
+  if (!budget_.take(1, 3.0) || (may_send && !may_send())) return a;
   static const std::string type = "application/msgpack";
   httplib::Result r =
       post ? http_.Post(path, body ? wire::pack(*body) : std::string(), type) : http_.Get(path);
@@ -44,10 +45,10 @@
   return wire::parse_types(a.body);
 }
 
-Client::Hired Client::hire(const Hire& h) {
+Client::Hired Client::hire(const Hire& h, const MaySend& may_send) {
   Hired out;
   const json body = wire::hire(h);
-  const Answer a = call(true, "/machines", &body);
+  const Answer a = call(true, "/machines", &body, may_send);
   if (a.status == 200) {
     if (auto names = wire::parse_hired(a.body)) {
       out.outcome = CloudOutcome::done;
@@ -65,9 +66,9 @@
   return out;
 }
 
-CloudOutcome Client::give_back(const std::vector<std::string>& names) {
+CloudOutcome Client::give_back(const std::vector<std::string>& names, const MaySend& may_send) {
   const json body = wire::give_back(names);
-  const Answer a = call(true, "/machines/return", &body);
+  const Answer a = call(true, "/machines/return", &body, may_send);
   if (a.status == 200) return CloudOutcome::done;
   return a.status != 0 || !a.sent ? CloudOutcome::refused : CloudOutcome::unknown;
 }
--- a/src/cloud/client.h
+++ b/src/cloud/client.h
@@ -3,6 +3,7 @@
 
 #include <httplib.h>
 
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -23,8 +24,11 @@
     CloudOutcome outcome = CloudOutcome::unknown;
     std::vector<std::string> machines;
   };
-  Hired hire(const Hire& h);
-  CloudOutcome give_back(const std::vector<std::string>& names);
+  // Asked right before the request goes out, after any wait for the budget: a hire or a return that
+  // was decided by a leader which is none any more is not sent.
+  using MaySend = std::function<bool()>;
+  Hired hire(const Hire& h, const MaySend& may_send);
+  CloudOutcome give_back(const std::vector<std::string>& names, const MaySend& may_send);
   // All pages; empty on any failure.
   std::optional<std::vector<ListedMachine>> list();
 
@@ -34,7 +38,8 @@
     bool sent = false;
     nlohmann::json body;
   };
-  Answer call(bool post, const std::string& path, const nlohmann::json* body);
+  Answer call(bool post, const std::string& path, const nlohmann::json* body,
+              const MaySend& may_send = nullptr);
 
   httplib::Client http_;
   net::Budget& budget_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -117,6 +117,18 @@
   return c;
 }
 
+size_t connections_from_siblings(const Config& c) {
+  // One each; a sibling that restarts or gave up waiting comes with a second before we know.
+  return 4 + 3 * c.siblings.size();
+}
+
+size_t connections_from_outside(const Config& c) {
+  // Listeners, polls, clients of the state service and the cloud, direct orders: some thirty; one
+  // to each sibling. A rush leaves some connections between the network and us.
+  const size_t own = 40 + c.siblings.size() + connections_from_siblings(c) + c.max_sockets / 32;
+  return c.max_sockets > 2 * own ? c.max_sockets - own : c.max_sockets / 2;
+}
+
 namespace {
 
 struct Field {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -45,4 +45,10 @@
 Config parse_config(const std::string& json_text);
 void apply_ini(Config& config, const std::string& path);
 
+// How the sockets of the settings are shared out: connections that users, workers and health checks
+// may hold open at once, and siblings. The rest is for what this process opens itself, and for
+// connections that wait to be taken in a rush.
+size_t connections_from_outside(const Config& config);
+size_t connections_from_siblings(const Config& config);
+
 }  // namespace rookdyke
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -207,6 +207,9 @@
   // Something happened that a round should look at soon.
   bool eager() const { return eager_; }
 
+  // This process stood still for so long: the machines' silence meanwhile was its own.
+  void slept(double s, double now);
+
   // One round of decisions.
   void round(double now);
 
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -436,6 +436,19 @@
   take_list(m, *r, nullptr, nullptr, listed, now);
 }
 
+// Their reports wait to be read, or went elsewhere: who has fallen silent shows only from now on.
+void Core::slept(double s, double now) {
+  const auto later = [&](double& t) {
+    if (t >= 0) t = std::min(now, t + s);
+  };
+  for (const auto& m : machines_) {
+    later(m->last_report);
+    later(m->unheeded_since);
+    later(m->mute_since);
+  }
+  many_silent_until_ = -1;
+}
+
 bool Core::deaf(double now) const {
   size_t heard = 0, silent = 0;
   const double limit = std::max(2.2 * settings_.report_s, 5.0);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -20,12 +20,19 @@
 // of an outage: it leaves its workers to whom the others elect.
 constexpr double kAloneAfter = 5;
 constexpr double kHintsEvery = 5;
-constexpr double kNeedFresh = 6;  // what a sibling said of its need counts this long
-constexpr size_t kMaxConnections = 4000;
+constexpr double kNeedFresh = 6;     // what a sibling said of its need counts this long
 constexpr size_t kApiThreads = 160;  // requests served at once; users' wait for the state service
 constexpr size_t kMeshThreads = 8;
 constexpr int kDirectThreads = 3;
 constexpr double kEagerGap = 0.06;  // rounds follow events no closer than this
+constexpr int kReloadRows = 500;
+// After this long without an answer the ledger is asked how far it has gone on; beyond so many
+// changes it is read anew.
+constexpr double kLongBehind = 3;
+constexpr uint64_t kMostBehind = 200;
+// The process looks at itself this often; it has stood still if it did not run for kStall.
+constexpr double kPulseEvery = 0.25;
+constexpr double kStall = 1;
 
 }  // namespace
 
@@ -57,14 +64,11 @@
   incarnation_ = config_.core.label + "." +
                  std::to_string(std::chrono::system_clock::now().time_since_epoch().count()) + "." +
                  std::to_string(random_());
-  const size_t most =
-      std::min(kMaxConnections,
-               config_.max_sockets > 512 ? config_.max_sockets - 192 : config_.max_sockets / 2);
   api_ = std::make_unique<net::Server>(
-      config_.bind, most, kApiThreads, 64 * 1024,
+      config_.bind, connections_from_outside(config_), kApiThreads, 64 * 1024,
       [this](const httplib::Request& q, httplib::Response& r) { serve(q, r); });
   mesh_ = std::make_unique<net::Server>(
-      config_.mesh, 64, kMeshThreads, 256 * 1024,
+      config_.mesh, connections_from_siblings(config_), kMeshThreads, 256 * 1024,
       [this](const httplib::Request& q, httplib::Response& r) { serve_mesh(q, r); });
 }
 
@@ -81,6 +85,8 @@
     set_role(Role::follower, "start");
   }
   if (!api_->start() || !mesh_->start()) return false;
+  pulse_ = woke_at_ = steady_now();
+  threads_.emplace_back([this] { pulse_loop(); });
   threads_.emplace_back([this] { watch_loop(); });
   threads_.emplace_back([this] { lead_loop(); });
   threads_.emplace_back([this] { engine_loop(); });
@@ -142,27 +148,31 @@
   if (const MirrorJob* j = mirror_.job(id)) core_->on_job_row(*j, id, steady_now());
 }
 
+// Page by page, so that no more than one is held at a time. What the mirror shows meanwhile is for
+// no barrier: the watch that follows gives the next one.
 bool Node::reload(state::Client& client) {
-  std::vector<wire::Row> rows;
   std::string after;
   uint64_t first = 0;
+  size_t rows = 0;
+  {
+    std::lock_guard lock(mutex_);
+    mirror_.begin_reload();
+  }
   while (true) {
-    auto page = client.range(ledger::kPrefix, after, 1000);
+    auto page = client.range(ledger::kPrefix, after, kReloadRows);
     if (!page) return false;
     if (first == 0) first = page->revision;
     if (!page->rows.empty()) after = page->rows.back().key;
-    const bool last = !page->more || page->rows.empty();
-    rows.insert(rows.end(), std::make_move_iterator(page->rows.begin()),
-                std::make_move_iterator(page->rows.end()));
-    if (last) break;
+    rows += page->rows.size();
+    std::lock_guard lock(mutex_);
+    for (const wire::Row& r : page->rows) apply(r);
+    if (!page->more || page->rows.empty()) break;
   }
   std::lock_guard lock(mutex_);
-  mirror_.begin_reload();
-  for (const wire::Row& r : rows) apply(r);
   mirror_.end_reload();
   // Later pages may show later changes; the watch from the first page's revision repeats them.
   revision_ = first;
-  spdlog::info("ledger read: {} rows at revision {}", rows.size(), first);
+  spdlog::info("ledger read: {} rows at revision {}", rows, first);
   return true;
 }
 
@@ -171,7 +181,7 @@
   // it in one request: each is a barrier for every poll that was waiting when it was sent.
   state::Client client(config_.state, state_budgets_);
   bool loaded = false;
-  double last = 0;
+  double last = 0, followed = 0;
   while (!stop_) {
     double interval, gap;
     {
@@ -212,6 +222,16 @@
         continue;
       }
       // The watch below catches up with what changed between the pages.
+    } else if (steady_now() - followed > kLongBehind) {
+      // A watch answers with all changes since, whatever their size: after a minute cut off they
+      // take more memory than a controller has (docs/rounds.md, round 20). The rows as they are do
+      // not.
+      const auto head = client.range(ledger::kPrefix, "", 1);
+      if (head && head->revision > revision_ + kMostBehind) {
+        spdlog::info("ledger: {} changes behind, reading anew", head->revision - revision_);
+        loaded = false;
+        continue;
+      }
     }
     auto w = client.watch(ledger::kPrefix, revision_, 0);
     if (w.kind == state::Client::Watch::Kind::too_old) {
@@ -221,6 +241,7 @@
     }
     if (w.kind == state::Client::Watch::Kind::events) {
       ok = true;
+      followed = steady_now();
       watch_failures_ = 0;
       std::lock_guard lock(mutex_);
       for (const wire::Row& r : w.rows.rows) apply(r);
@@ -307,9 +328,9 @@
 }
 
 bool Node::campaign(state::Client& client) {
+  const double granted = steady_now();  // its time runs from here at the earliest
   const auto lease = client.grant(config_.lease_ttl_s);
   if (!lease) return false;
-  const double granted = steady_now();
   ledger::Transaction t;
   {
     std::lock_guard lock(mutex_);
@@ -338,6 +359,13 @@
     return false;
   }
   const double now = steady_now();
+  feel(now);
+  if (now - granted > config_.lease_ttl_s * kDrift) {
+    // It took too long, or we stood still meanwhile: somebody else may lead by now.
+    lease_ = *lease;
+    set_role(Role::follower, "elected too late");
+    return false;
+  }
   lease_ = *lease;
   token_ = r.revision;
   renewed_at_ = granted;
@@ -356,6 +384,41 @@
   return true;
 }
 
+void Node::feel(double now) {
+  const double still = now - pulse_;
+  pulse_ = std::max(pulse_, now);
+  if (still < kStall) return;
+  spdlog::warn("this process did not run for {:.1f} s", still);
+  woke_at_ = now;
+  // The silence of others was our own.
+  if (core_) core_->slept(still, now);
+  siblings_at_ = now;
+  lead_cv_.notify_all();
+}
+
+// Whether what we know of our lease is worth acting on. While its time runs, nobody else leads.
+// After that, doubt that failed renewals made is an outage that we lived through; doubt that we
+// slept through is none: others may have been elected.
+bool Node::sure(double now) {
+  feel(now);
+  return leads() && (now - renewed_at_ < config_.lease_ttl_s * kDrift || checked_at_ > woke_at_);
+}
+
+bool Node::still_sure(uint64_t token) {
+  std::lock_guard lock(mutex_);
+  return token_ == token && sure(steady_now());
+}
+
+void Node::pulse_loop() {
+  std::unique_lock lock(mutex_);
+  while (!stop_) {
+    feel(steady_now());
+    lock.unlock();
+    std::this_thread::sleep_for(std::chrono::duration<double>(kPulseEvery));
+    lock.lock();
+  }
+}
+
 void Node::lead_loop() {
   state::Client client(config_.state, state_budgets_, 0.8);
   std::uniform_real_distribution<double> jitter(0.0, 0.3);
@@ -382,6 +445,8 @@
         const auto kept = client.renew(lease);
         std::lock_guard lock(mutex_);
         const double now = steady_now();
+        feel(now);
+        if (sent > woke_at_) checked_at_ = sent;
         if (leads()) {
           if (kept == state::Client::Renewal::kept) {
             renewed_at_ = sent;
@@ -445,7 +510,7 @@
       lock.lock();
       continue;
     }
-    if (role_ == Role::leading && core_) {
+    if (role_ == Role::leading && core_ && sure(steady_now())) {
       const double now = steady_now();
       if (core_->lost()) {
         step_down(Role::follower, "the core lost its claim");
@@ -489,7 +554,7 @@
       nap(lock, commit_cv_, wait);
       continue;
     }
-    if (role_ == Role::leading && core_)
+    if (role_ == Role::leading && core_ && sure(steady_now()))
       p = core_->next_transaction(steady_now(), static_cast<size_t>(state_budgets_.writes.there()));
     if (!p) {
       nap(lock, commit_cv_, 0.5);
@@ -512,7 +577,7 @@
   std::unique_lock lock(mutex_);
   while (!stop_) {
     std::optional<Direct> d;
-    if (role_ == Role::leading && core_) d = core_->next_direct(steady_now());
+    if (role_ == Role::leading && core_ && sure(steady_now())) d = core_->next_direct(steady_now());
     if (!d) {
       nap(lock, direct_cv_, 1.0);
       continue;
@@ -530,8 +595,13 @@
       http.set_connection_timeout(0, 500'000);
       http.set_read_timeout(1, 0);
       http.set_write_timeout(1, 0);
-      const auto r =
-          http.Post(wire::kDirect, wire::pack(wire::direct(token, *d)), "application/msgpack");
+      const std::string body = wire::pack(wire::direct(token, *d));
+      if (!still_sure(token)) {  // decided before we stood still, or before we stepped down
+        lock.lock();
+        if (core_ && token_ == token) core_->on_direct(*d, true, std::nullopt, steady_now());
+        continue;
+      }
+      const auto r = http.Post(wire::kDirect, body, "application/msgpack");
       if (r) {
         // 409 and 400: nothing was executed, and nothing will be.
         answered = r->status == 200 || r->status == 409 || r->status == 400;
@@ -560,9 +630,10 @@
   const double list_every = std::max(2.0, config_.core.list_lag_s * 0.7);
   std::unique_lock lock(mutex_);
   while (!stop_) {
-    const bool lead = role_ == Role::leading && core_;
-    const uint64_t token = token_;
     const double now = steady_now();
+    const bool lead = role_ == Role::leading && core_ && sure(now);
+    const uint64_t token = token_;
+    const auto may_send = [this, token] { return still_sure(token); };
     const bool want_types = (mirror_.types().empty() && types_.empty()) || lead;
     if (want_types && now >= next_types) {
       const bool have = !mirror_.types().empty();
@@ -591,7 +662,7 @@
     }
     if (auto names = core_->next_return(now); !names.empty()) {
       lock.unlock();
-      const CloudOutcome o = client.give_back(names);
+      const CloudOutcome o = client.give_back(names, may_send);
       lock.lock();
       if (core_ && token_ == token) core_->on_return(names, o, steady_now());
       commit_cv_.notify_all();
@@ -599,7 +670,7 @@
     }
     if (auto h = core_->next_hire(now)) {
       lock.unlock();
-      const auto got = client.hire(*h);
+      const auto got = client.hire(*h, may_send);
       lock.lock();
       if (core_ && token_ == token) core_->on_hire(*h, got.outcome, got.machines, steady_now());
       continue;
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -8,6 +8,7 @@
 //   direct    orders that do not wait for a worker's next report
 //   cloud     hires, returns, lists, machine types
 //   mesh      exchanges views with siblings
+//   pulse     notices that the process stood still
 //   api       a thread per connection of users, workers, health checks
 //
 // One mutex guards the core, the mirror and the role; nothing blocks while holding it.
@@ -83,6 +84,12 @@
   bool state_down() const { return watch_failures_ >= 2; }
   mesh::View view() const;
   bool leads() const { return role_ == Role::leading || role_ == Role::doubtful; }
+  // -- standing still: a process may stop in any line while its clocks run on. Nothing that was
+  // read, decided or queued before counts until the lease has been asked for again.
+  void pulse_loop();
+  void feel(double now);            // under mutex_: finds out that this process stood still
+  bool sure(double now);            // under mutex_: the lease was looked at since
+  bool still_sure(uint64_t token);  // takes mutex_: right before something is sent
   void nap(std::unique_lock<std::mutex>& lock, std::condition_variable& cv, double s);
 
   Config config_;
@@ -96,6 +103,9 @@
   uint64_t token_ = 0, lease_ = 0;
   double rest_until_ = 0;
   double renewed_at_ = 0;
+  double pulse_ = 0;             // this process was seen to run
+  double woke_at_ = 0;           // it last found that it had stood still
+  double checked_at_ = 0;        // the last renewal that came to an outcome was sent
   std::vector<TypeInfo> types_;  // as the cloud tells, until the ledger has them
   uint64_t highest_token_ = 0;   // heard of from anybody
   std::string highest_leader_;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -23,9 +23,13 @@
 constexpr size_t kThreadsKept = 4;
 constexpr int kReadMs = 5'000;  // within a request
 constexpr int kWriteMs = 5'000;
-constexpr int kBacklog = 512;       // the library's is 5
+constexpr int kBacklog = 512;  // the library's is 5
+// A request that waited for a thread this long is looked at again: its sender may have left.
+constexpr std::chrono::milliseconds kLongWait(500);
 constexpr size_t kStack = 1 << 20;  // reserved, not used: the library matches headers recursively
 
+constexpr const char* kLeft = "/left";
+
 bool wait_for(int fd, short events, int ms) {
   pollfd p{fd, events, 0};
   int n = 0;
@@ -44,6 +48,7 @@
   // Reads what has come; false: the peer has closed.
   bool begin() { return from_ < in_.size() || receive() > 0; }
   bool buffered() const { return from_ < in_.size(); }
+  bool peer_left() const { return wait_for(fd_, POLLRDHUP, 0); }
   // Nothing is kept for a connection that waits.
   void rest() {
     std::string().swap(in_);
@@ -183,10 +188,20 @@
   new_task_queue = [this] { return threads_ = new Threads(most_threads_); };
   // The library routes by regular expressions, which recurse over the path; every request is
   // routed as "/" and told apart by its target (process_and_close_socket).
+  // One whose sender has left is not carried out (the process may have stood still meanwhile): its
+  // user has asked somebody else since, and so has its worker.
+  const httplib::Server::Handler left = [](const httplib::Request&, httplib::Response& res) {
+    res.status = 503;
+    res.set_header("Retry-After", "1");
+  };
   Get("/", handle);
   Post("/", handle);
   Put("/", handle);
   Delete("/", handle);
+  Get(kLeft, left);
+  Post(kLeft, left);
+  Put(kLeft, left);
+  Delete(kLeft, left);
   set_exception_handler([](const httplib::Request&, httplib::Response& res, std::exception_ptr) {
     res.status = 500;
   });
@@ -238,11 +253,27 @@
 bool Server::process_and_close_socket(socket_t sock) {
   const int one = 1;
   ::setsockopt(sock, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-  ++open_;
+  if (++open_ > most_) make_way();
   keep(std::make_shared<ConnectionStream>(sock));
   return true;
 }
 
+// Connections run short: the one that has been idle for longest is likeliest of a machine or user
+// that is gone. New ones are never refused, health checks and siblings among them.
+void Server::make_way() {
+  std::shared_ptr<ConnectionStream> stream;
+  {
+    std::lock_guard lock(mutex_);
+    const auto longest = std::min_element(
+        idle_.begin(), idle_.end(),
+        [](const auto& a, const auto& b) { return a.second.idle_since < b.second.idle_since; });
+    if (longest == idle_.end()) return;
+    stream = std::move(longest->second.stream);
+    idle_.erase(longest);
+  }
+  close(stream);
+}
+
 void Server::keep(std::shared_ptr<ConnectionStream> stream) {
   const int fd = stream->socket();
   stream->rest();
@@ -277,7 +308,10 @@
       std::shared_ptr<ConnectionStream> stream = std::move(it->second.stream);
       idle_.erase(it);
       lock.unlock();
-      threads_->enqueue([this, stream] { serve(stream); });
+      const bool left = events[static_cast<size_t>(i)].events & (EPOLLRDHUP | EPOLLHUP);
+      threads_->enqueue([this, stream, left, since = std::chrono::steady_clock::now()] {
+        serve(stream, left, since);
+      });
     }
     const auto now = std::chrono::steady_clock::now();
     if (now - swept < std::chrono::milliseconds(kSweepMs)) continue;
@@ -298,14 +332,14 @@
   idle_.clear();
 }
 
-void Server::serve(std::shared_ptr<ConnectionStream> stream) {
+void Server::serve(std::shared_ptr<ConnectionStream> stream, bool left, Time since) {
   if (!stream->begin()) return close(stream);
+  if (!left && std::chrono::steady_clock::now() - since > kLongWait) left = stream->peer_left();
   do {
     bool closed = false;
-    // When connections run short, they are given up after an answer to make way.
-    const bool ok = process_request(*stream, open_ > most_ * 9 / 10, closed,
-                                    [](httplib::Request& r) { r.path = "/"; });
-    if (!stream->flush() || !ok || closed) return close(stream);
+    const bool ok = process_request(*stream, left, closed,
+                                    [left](httplib::Request& r) { r.path = left ? kLeft : "/"; });
+    if (!stream->flush() || !ok || closed || left) return close(stream);
   } while (stream->buffered());
   keep(std::move(stream));
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -54,14 +54,17 @@
   int port() const { return at_.port; }
 
  private:
+  using Time = std::chrono::steady_clock::time_point;
   struct Connection {
     std::shared_ptr<ConnectionStream> stream;
-    std::chrono::steady_clock::time_point idle_since;
+    Time idle_since;
   };
   bool process_and_close_socket(socket_t sock) override;
-  void serve(std::shared_ptr<ConnectionStream> stream);  // one request that has begun to arrive
-  void keep(std::shared_ptr<ConnectionStream> stream);   // until the next one begins
+  // One request that has begun to arrive. `left`: its sender has closed the connection already.
+  void serve(std::shared_ptr<ConnectionStream> stream, bool left, Time since);
+  void keep(std::shared_ptr<ConnectionStream> stream);  // until the next one begins
   void watch_idle();
+  void make_way();  // closes the connection that has been idle for longest
   void close(const std::shared_ptr<ConnectionStream>& stream);
 
   Endpoint at_;
