--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -211,28 +211,29 @@
     if (stop_) break;
     last = steady_now();
     bool ok = false;
-    if (!loaded) {
-      loaded = reload(client);
-      if (!loaded) {
-        std::unique_lock lock(barrier_mutex_);
-        barrier_failed_ = asked;
-        ++watch_failures_;
-        barrier_cv_.notify_all();
-        watch_cv_.wait_for(lock, std::chrono::milliseconds(300));
-        continue;
-      }
-      // The watch below catches up with what changed between the pages.
-    } else if (steady_now() - followed > kLongBehind) {
-      // A watch answers with all changes since, whatever their size: after a minute cut off they
-      // take more memory than a controller has (docs/rounds.md, round 20). The rows as they are do
-      // not.
+    // A watch answers with all changes since, whatever their size: those of two minutes cut off
+    // take more memory than a controller has, and had two of five killed (docs/rounds.md, round
+    // 20). The rows as they are do not; so one that was long without an answer asks first how far
+    // the ledger has gone on.
+    bool reachable = true;
+    if (loaded && steady_now() - followed > kLongBehind) {
       const auto head = client.range(ledger::kPrefix, "", 1);
+      reachable = head.has_value();
       if (head && head->revision > revision_ + kMostBehind) {
         spdlog::info("ledger: {} changes behind, reading anew", head->revision - revision_);
         loaded = false;
-        continue;
       }
     }
+    if (reachable && !loaded) reachable = loaded = reload(client);
+    if (!reachable) {
+      std::unique_lock lock(barrier_mutex_);
+      barrier_failed_ = asked;
+      ++watch_failures_;
+      barrier_cv_.notify_all();
+      watch_cv_.wait_for(lock, std::chrono::milliseconds(loaded ? 150 : 300));
+      continue;
+    }
+    // The watch catches up with what changed between the pages of a reload.
     auto w = client.watch(ledger::kPrefix, revision_, 0);
     if (w.kind == state::Client::Watch::Kind::too_old) {
       spdlog::warn("ledger: watch from revision {} is too old, reading anew", revision_);
