--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -130,12 +130,15 @@
     for (const std::string& t : job.spec.types)
       if (const Index k = type_names_.find(t); k != kNone) job.types[k] = true;
   }
+  double boot = 1e9;
+  for (const TypeInfo& t : types_) boot = std::min(boot, t.boot_s);
   for (const Objective& o : settings_.objectives)
     if (o.start && o.lot == job.spec.lot) {
-      job.prompt = true;
       job.start_within.push_back(o.within_s);
-      prompt_images_.insert(job.image);
+      // A promise that no machine rented for it could keep; a longer one is kept by the order alone.
+      job.prompt = job.prompt || o.within_s < boot;
     }
+  if (job.prompt) prompt_images_.insert(job.image);
   std::sort(job.start_within.begin(), job.start_within.end());
   job.pages.assign((job.tasks() + job.per - 1) / job.per, kNone);
   for (const auto& [n, c] : row.chunks) {
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -26,6 +26,9 @@
 constexpr double kLeaveWarm = 0.5;
 // In seconds of age: a promise of a prompt start goes before anything else of its rank.
 constexpr double kPromptFirst = 1e6;
+// A promise of a start that queueing can keep is kept by going first for the last part of its time.
+constexpr double kDueSoon = 40;
+constexpr double kDueFirst = 1e5;
 // In seconds of age: how far the largest job stands back for small ones.
 constexpr double kMostStandingBack = 150;
 // A job of which nothing was started for this long goes before everything, whatever its class, rank
@@ -82,8 +85,11 @@
 // much work left stands back for small ones: of a queue that cannot all be in time, most are then.
 double Core::urgency(const Job& job, double now) const {
   const double age = now - job.seen_at;
-  for (const double within : job.start_within)
-    if (within > age) return within - age - kPromptFirst;
+  for (const double within : job.start_within) {
+    if (within <= age) continue;
+    if (job.prompt) return within - age - kPromptFirst;
+    if (within - age < kDueSoon) return within - age - kDueFirst;
+  }
   const double left = (job.tasks() - job.done_count) * job.share * job.spec.estimate_s;
   return std::min(left * settings_.tuning.small_first, kMostStandingBack) - age;
 }
@@ -317,7 +323,7 @@
 // long.
 bool Core::needs_warm(const Job& job, double now) const {
   const double age = now - job.seen_at;
-  if (!job.attempts.empty()) return false;
+  if (!job.prompt || !job.attempts.empty()) return false;
   for (const double within : job.start_within) {
     if (within <= age) continue;
     double fetch = 0;
