--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -135,7 +135,8 @@
   for (const Objective& o : settings_.objectives)
     if (o.start && o.lot == job.spec.lot) {
       job.start_within.push_back(o.within_s);
-      // A promise that no machine rented for it could keep; a longer one is kept by the order alone.
+      // A promise that no machine rented for it could keep; a longer one is kept by the order
+      // alone.
       job.prompt = job.prompt || o.within_s < boot;
     }
   if (job.prompt) prompt_images_.insert(job.image);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -32,8 +32,13 @@
 constexpr double kCancelPatience = 0.5;
 // Reports that show that none of our answers arrives, for this long: returned.
 constexpr double kUnheededFor = 8;
-// The share of machines that has to be silent, beyond two, for a cut to be the likely cause.
-constexpr double kManyShare = 0.15;
+// The share of machines that has to be silent, beyond two, for a common cause to be likely: single
+// ones fail by a few in an hour.
+constexpr double kManyShare = 0.05;
+// Of machines that heed nothing, for the cause to be our own slowness.
+constexpr double kOursShare = 0.15;
+// What replacing a machine takes, in boot times: until it is up and has fetched its first image.
+constexpr double kReplace = 1.25;
 constexpr size_t kFleetNameBytes = 24;
 constexpr size_t kFleetRows = 4;  // a transaction: it is 64 KiB at most
 
@@ -52,9 +57,15 @@
   return std::max(3 * settings_.report_s, std::min(settings_.lease_s / 2, 12.0));
 }
 
-// How long machines that fell silent together are waited for: their lease, and half of it again,
-// since after it they come back empty but up.
-double Core::patience() const { return std::max(silence_limit(), 1.5 * settings_.lease_s); }
+// How long machines that fell silent together are waited for: at most for as long as replacing them
+// would take, so that a wait in vain costs no more than it could have saved; and for their lease
+// and half of it again, since after it they come back empty but up. Those that are dead are not
+// listed any more by then.
+double Core::patience() const {
+  double boot = 0;
+  for (const TypeInfo& t : types_) boot = std::max(boot, t.boot_s);
+  return std::max({silence_limit(), 1.5 * settings_.lease_s, kReplace * boot});
+}
 
 // A cancelled job's tasks must be gone in cancel_s: their machine is not waited for.
 // `longer_than`: only what was cancelled more than so many seconds ago.
@@ -255,8 +266,9 @@
 bool Core::many_silent(double now) const {
   size_t heard = 0, missing = 0;
   for (const auto& m : machines_) {
-    if (!m->heard || m->state == MachineState::gone || m->state == MachineState::condemned ||
-        m->recall_at >= 0)
+    // Those of a predecessor that have not come yet count too.
+    if (!(m->heard || (m->was_up && m->state == MachineState::booting)) ||
+        m->state == MachineState::gone || m->state == MachineState::condemned || m->recall_at >= 0)
       continue;
     ++heard;
     if (now - m->last_report > 1.6 * settings_.report_s && m->unlisted_at < 0) ++missing;
@@ -277,7 +289,7 @@
       unheeding += m->unreachable();
     }
   const bool ours =
-      unheeding >= 5 && static_cast<double>(unheeding) >= kManyShare * static_cast<double>(heard);
+      unheeding >= 5 && static_cast<double>(unheeding) >= kOursShare * static_cast<double>(heard);
   for (const auto& mp : machines_) {
     Machine& m = *mp;
     const double silent = now - m.last_report;
@@ -303,7 +315,9 @@
           condemn(m, "takes up none of our answers");
         } else if (m.was_up) {
           // The ledger has tasks on it, so it was up under a predecessor.
-          if (silent > quiet + kTakeoverGrace) condemn(m, "not heard since the takeover");
+          const double most = many_silent_ && !holds_cancelled(m, now) ? patience() : quiet;
+          if (silent > std::max(most, quiet + kTakeoverGrace))
+            condemn(m, "not heard since the takeover");
         } else if (m.unlisted_at >= 0 && now - m.hired_at > 2 * settings_.list_lag_s + 5) {
           condemn(m, "rented under a predecessor and not listed");
         } else if (now - m.hired_at > settings_.tuning.boot_patience * boot) {
