A controller that stands still: what it knew before counts for nothing; scenarios and tests

The daemon's and the scenarios' nodes share Vigil: reports, rounds, transactions, orders, hires and returns are acted on only while the lease surely runs, or after a renewal that was sent since the process last stood still. Requests whose sender has left are not carried out; the machines' silence meanwhile is not laid on them.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -135,6 +135,7 @@
   double unheeded_since = -1;
   double mute_since = -1;  // reports with an older token than ours since, though answered
   int mute = 0;
+  double mute_at = 0;  // the last that was counted
   uint64_t mute_session = 0, mute_seq = 0;
   int introductions = 0;  // direct calls that told it our token, unasked
   double introduce_at = 0;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -444,7 +444,10 @@
     }
     if (m.addr.empty()) m.addr = l.addr;
     if (!m.heard) m.hired_at = std::min(m.hired_at, now - l.age_s);
-    if (l.state == ListedMachine::State::running && !m.heard) m.was_up = true;
+    if (l.state == ListedMachine::State::running && !m.heard && !m.was_up) {
+      m.was_up = true;
+      m.last_report = now;  // from here on its silence means something, not since it was rented
+    }
     if (l.state == ListedMachine::State::failed && m.state != MachineState::condemned)
       condemn(m, "failed");
   }
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -200,7 +200,11 @@
     if (std::make_pair(r.session, r.seq) > std::make_pair(m.mute_session, m.mute_seq)) {
       m.mute_session = r.session;
       m.mute_seq = r.seq;
-      if (m.mute++ == 0) m.mute_since = now;
+      // Those that a cut held back come all at once: they count for one.
+      if (m.mute == 0 || now - m.mute_at > 0.5 * settings_.report_s) {
+        m.mute_at = now;
+        if (m.mute++ == 0) m.mute_since = now;
+      }
       if (m.addr.empty()) m.addr = r.addr;
     }
     return reply;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-// Steady clocks drift apart by up to 0.05%: our count of a lease's time ends early by more.
-constexpr double kDrift = 0.998;
 constexpr double kRest = 12;          // how long a deaf leader leaves elections to the others
 constexpr double kLeaderShare = 0.6;  // of requests to the state service; followers share the rest
 constexpr double kStateFresh = 2.5;   // the state service counts as answering this long
@@ -30,9 +28,7 @@
 // changes it is read anew.
 constexpr double kLongBehind = 3;
 constexpr uint64_t kMostBehind = 200;
-// The process looks at itself this often; it has stood still if it did not run for kStall.
-constexpr double kPulseEvery = 0.25;
-constexpr double kStall = 1;
+constexpr double kPulseEvery = 0.25;  // the process looks at itself this often (core/vigil.h)
 
 }  // namespace
 
@@ -85,7 +81,7 @@
     set_role(Role::follower, "start");
   }
   if (!api_->start() || !mesh_->start()) return false;
-  pulse_ = woke_at_ = steady_now();
+  vigil_ = Vigil(steady_now());
   threads_.emplace_back([this] { pulse_loop(); });
   threads_.emplace_back([this] { watch_loop(); });
   threads_.emplace_back([this] { lead_loop(); });
@@ -361,7 +357,7 @@
   }
   const double now = steady_now();
   feel(now);
-  if (now - granted > config_.lease_ttl_s * kDrift) {
+  if (now - granted > config_.lease_ttl_s * Vigil::kDrift) {
     // It took too long, or we stood still meanwhile: somebody else may lead by now.
     lease_ = *lease;
     set_role(Role::follower, "elected too late");
@@ -369,7 +365,7 @@
   }
   lease_ = *lease;
   token_ = r.revision;
-  renewed_at_ = granted;
+  vigil_.kept(granted);
   core_ = std::make_unique<Core>(config_.core, types, token_, now);
   core_->set_day_offset(
       std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() -
@@ -386,23 +382,18 @@
 }
 
 void Node::feel(double now) {
-  const double still = now - pulse_;
-  pulse_ = std::max(pulse_, now);
-  if (still < kStall) return;
+  const double still = vigil_.feel(now);
+  if (still <= 0) return;
   spdlog::warn("this process did not run for {:.1f} s", still);
-  woke_at_ = now;
   // The silence of others was our own.
   if (core_) core_->slept(still, now);
   siblings_at_ = now;
   lead_cv_.notify_all();
 }
 
-// Whether what we know of our lease is worth acting on. While its time runs, nobody else leads.
-// After that, doubt that failed renewals made is an outage that we lived through; doubt that we
-// slept through is none: others may have been elected.
 bool Node::sure(double now) {
   feel(now);
-  return leads() && (now - renewed_at_ < config_.lease_ttl_s * kDrift || checked_at_ > woke_at_);
+  return leads() && vigil_.sure(now, config_.lease_ttl_s);
 }
 
 bool Node::still_sure(uint64_t token) {
@@ -447,16 +438,17 @@
         std::lock_guard lock(mutex_);
         const double now = steady_now();
         feel(now);
-        if (sent > woke_at_) checked_at_ = sent;
+        vigil_.asked(sent);
         if (leads()) {
           if (kept == state::Client::Renewal::kept) {
-            renewed_at_ = sent;
+            vigil_.kept(sent);
             if (role_ == Role::doubtful) set_role(Role::leading, "the lease is renewed");
           } else if (kept == state::Client::Renewal::ended) {
             step_down(Role::follower, "the lease ended");
-          } else if (now - renewed_at_ > config_.lease_ttl_s * kDrift) {
+          } else if (!vigil_.runs(now, config_.lease_ttl_s)) {
             if (role_ == Role::leading) set_role(Role::doubtful, "the lease could not be renewed");
-            if (now - renewed_at_ > kMaxDoubt) step_down(Role::follower, "in doubt for too long");
+            if (now - vigil_.kept_at() > kMaxDoubt)
+              step_down(Role::follower, "in doubt for too long");
           }
         }
         next_renewal = sent + config_.lease_ttl_s / 3;
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -28,6 +28,7 @@
 #include "config/config.h"
 #include "core/core.h"
 #include "core/mirror.h"
+#include "core/vigil.h"
 #include "mesh/mesh.h"
 #include "net/server.h"
 #include "state/client.h"
@@ -102,10 +103,7 @@
   std::unique_ptr<Core> core_;
   uint64_t token_ = 0, lease_ = 0;
   double rest_until_ = 0;
-  double renewed_at_ = 0;
-  double pulse_ = 0;             // this process was seen to run
-  double woke_at_ = 0;           // it last found that it had stood still
-  double checked_at_ = 0;        // the last renewal that came to an outcome was sent
+  Vigil vigil_;  // of our lease, and of standing still
   std::vector<TypeInfo> types_;  // as the cloud tells, until the ledger has them
   uint64_t highest_token_ = 0;   // heard of from anybody
   std::string highest_leader_;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -117,5 +117,17 @@
   EXPECT_NE(error_of("[rounds]\nround_s = 2\nround_max_s = 1\n"), "");
 }
 
+// Sockets are shared out by the settings, so that the workers of a large fleet all find room.
+TEST(Config, SocketsFollowFromTheSettings) {
+  Config c;
+  c.max_sockets = 2179;
+  c.siblings.resize(6);
+  EXPECT_GE(connections_from_outside(c), 2000u);
+  EXPECT_GE(connections_from_siblings(c), 12u);
+  EXPECT_LT(connections_from_outside(c) + connections_from_siblings(c) + 40, c.max_sockets);
+  c.max_sockets = 64;
+  EXPECT_EQ(connections_from_outside(c), 32u);
+}
+
 }  // namespace
 }  // namespace rookdyke
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -8,6 +8,7 @@
 #include "core/ledger.h"
 #include "core/mirror.h"
 #include "core/states.h"
+#include "core/vigil.h"
 
 namespace rookdyke {
 namespace {
@@ -286,5 +287,128 @@
   EXPECT_TRUE(allowed(MachineState::draining, MachineState::ready));
 }
 
+// ---- a core by itself, with machines that report by hand
+
+Settings bare_settings() {
+  Settings s;
+  s.label = "n0";
+  s.zones = {"a"};
+  s.teams = {{"team", 0, 0, 0, 0}};
+  s.report_s = 5;
+  s.lease_s = 29;
+  s.list_lag_s = 3;
+  return s;
+}
+
+TypeInfo bare_type() {
+  TypeInfo t;
+  t.name = "box";
+  t.size = {16, 4, 64};
+  t.cache_gb = 100;
+  t.price = 4;
+  t.spot_price = 1;
+  t.boot_s = 50;
+  t.zones = {"a"};
+  return t;
+}
+
+Report bare_report(int machine, uint64_t seq, uint64_t token) {
+  Report r;
+  r.machine = "m-" + std::to_string(machine);
+  r.addr = "10.0.0.1:1";
+  r.type = "box";
+  r.zone = "a";
+  r.session = 1;
+  r.seq = seq;
+  r.token = token;
+  return r;
+}
+
+MachineState state_of(const Core& core, int machine) {
+  for (const auto& m : core.machines())
+    if (m->name == "m-" + std::to_string(machine)) return m->state;
+  return MachineState::gone;
+}
+
+// After standing still a leader must not lay its own deafness on the machines.
+TEST(Core, ItsOwnSleepIsNoSilenceOfTheMachines) {
+  Core slept(bare_settings(), {bare_type()}, 7, 0), other(bare_settings(), {bare_type()}, 7, 0);
+  for (Core* c : {&slept, &other})
+    for (int i = 0; i < 10; ++i) c->on_report(bare_report(i, 1, 7), 1);
+  slept.slept(40, 41);
+  EXPECT_FALSE(slept.deaf(41.1));
+  EXPECT_TRUE(other.deaf(41.1));
+  slept.round(41.1);
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(state_of(slept, i), MachineState::ready);
+  EXPECT_TRUE(slept.deaf(60));  // what is silent from then on is silent
+}
+
+// Reports that a cut held back come together, all with an older token: they do not show a machine
+// that takes up none of our answers.
+TEST(Core, HeldReportsAreNoMuteMachine) {
+  Core core(bare_settings(), {bare_type()}, 7, 0);
+  for (uint64_t seq = 1; seq <= 6; ++seq) core.on_report(bare_report(0, seq, 3), 10);
+  core.round(19);
+  EXPECT_EQ(state_of(core, 0), MachineState::booting);
+  // One that goes on like that for long is given up.
+  for (uint64_t seq = 7; seq <= 9; ++seq)
+    core.on_report(bare_report(0, seq, 3), 10 + 5.0 * static_cast<double>(seq - 6));
+  core.round(26);
+  EXPECT_EQ(state_of(core, 0), MachineState::condemned);
+}
+
+// A machine that the cloud lists as running before it was ever heard has only just come up.
+TEST(Core, AMachineIsNotSilentBeforeItIsUp) {
+  Core core(bare_settings(), {bare_type()}, 7, 0);
+  ListedMachine l{"m-0", "10.0.0.1:1", "box", "a", false, ListedMachine::State::booting, 5};
+  core.on_machine_list({l}, 5, 5);
+  l.state = ListedMachine::State::running;
+  core.on_machine_list({l}, 60, 60);
+  core.round(61);
+  EXPECT_EQ(state_of(core, 0), MachineState::booting);
+  core.round(61 + 40);
+  EXPECT_EQ(state_of(core, 0), MachineState::condemned);
+}
+
+// Many that fall silent together are waited for as long as replacing them would take, a few are
+// not.
+TEST(Core, ManySilentMachinesAreWaitedFor) {
+  for (const int silent : {2, 10}) {
+    Settings settings = bare_settings();
+    settings.tuning.lull_s = 1000;
+    Core core(settings, {bare_type()}, 7, 0);
+    double now = 1;
+    for (uint64_t seq = 1; now < 70; ++seq, now += 2.5) {
+      for (int i = seq > 4 ? silent : 0; i < 120; ++i) core.on_report(bare_report(i, seq, 7), now);
+      core.round(now);
+      if (now < 40 || now > 60) continue;
+      EXPECT_EQ(state_of(core, 0), silent == 2 ? MachineState::condemned : MachineState::ready);
+    }
+    EXPECT_EQ(state_of(core, 119), MachineState::ready);
+  }
+}
+
+TEST(Vigil, WhatWasKnownBeforeASleepCountsForNothing) {
+  Vigil v(100);
+  v.kept(100.1);
+  EXPECT_TRUE(v.sure(100.5, 2.5));
+  EXPECT_EQ(v.feel(100.6), 0);
+  EXPECT_EQ(v.feel(101.5), 0);
+  // An outage: renewals fail, and the process lives through it. Doubt, but not of its own making.
+  v.asked(102);
+  EXPECT_EQ(v.feel(102.4), 0);
+  EXPECT_FALSE(v.runs(103, 2.5));
+  EXPECT_TRUE(v.sure(103, 2.5));
+  // It stands still: nothing is sure until the lease has been asked for again.
+  EXPECT_NEAR(v.feel(130), 27.6, 1e-9);
+  EXPECT_FALSE(v.sure(130, 2.5));
+  v.asked(129);  // an answer to what was sent before it woke
+  EXPECT_FALSE(v.sure(130.1, 2.5));
+  v.asked(130.05);
+  EXPECT_TRUE(v.sure(130.2, 2.5));
+  v.kept(130.3);
+  EXPECT_TRUE(v.runs(132, 2.5));
+}
+
 }  // namespace
 }  // namespace rookdyke
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -2,8 +2,11 @@
 // cloud and a worker written here. What is checked does not depend on timing: every wait has a
 // deadline far beyond what it takes.
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <httplib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <condition_variable>
@@ -12,6 +15,7 @@
 #include <mutex>
 #include <thread>
 
+#include "cloud/client.h"
 #include "daemon/node.h"
 #include "mesh/mesh.h"
 #include "sim.h"
@@ -49,6 +53,19 @@
     std::lock_guard lock(mutex_);
     return asked_;
   }
+  // Changes that others make while nobody is answered.
+  void change_much(int times) {
+    std::lock_guard lock(mutex_);
+    for (int i = 0; i < times; ++i) {
+      ledger::Transaction t;
+      t.changes = {{"rd/x/" + std::to_string(i % 7), false, json(i), 0}};
+      store_.commit(t);
+    }
+  }
+  size_t longest_watch() {
+    std::lock_guard lock(mutex_);
+    return longest_;
+  }
 
  private:
   void serve(const httplib::Request& q, httplib::Response& r) {
@@ -61,6 +78,7 @@
       const size_t from = at + name.size() + 1;
       return q.target.substr(from, q.target.find('&', from) - from);
     };
+    auto unescape = [](const std::string& s) { return httplib::detail::decode_url(s, false); };
     if (path == "/txn") ++asked_;
     if (outage_) return put(r, 503, {{"error", "down"}});
     if (path == "/txn") {
@@ -81,7 +99,9 @@
         put(r, 409, {{"failed", res.failed}, {"ledger", store_.revision}});
     } else if (path == "/watch") {
       json log = json::array();
-      for (const auto& e : store_.since(std::stoull(param("after")))) {
+      const auto changes = store_.since(std::stoull(param("after")));
+      longest_ = std::max(longest_, changes.size());
+      for (const auto& e : changes) {
         if (e.erased)
           log.push_back({{"delete", e.key}, {"stamp", e.stamp}});
         else
@@ -89,7 +109,16 @@
       }
       put(r, 200, {{"ledger", store_.revision}, {"log", log}});
     } else if (path == "/keys") {
-      put(r, 200, {{"rows", json::array()}, {"truncated", false}, {"ledger", 0}});
+      ++ranges_;
+      json rows = json::array();
+      const size_t most = std::stoul(param("most"));
+      const auto all = store_.rows_after(unescape(param("after")));
+      for (const auto& [k, e] : all) {
+        if (rows.size() == most) break;
+        rows.push_back({{"k", k}, {"v", e.value}, {"stamp", e.stamp}});
+      }
+      const bool more = rows.size() < all.size();
+      put(r, 200, {{"rows", std::move(rows)}, {"truncated", more}, {"ledger", store_.revision}});
     } else if (path.rfind("/keys/", 0) == 0) {
       const auto* e = store_.get(path.substr(6));
       if (e)
@@ -113,7 +142,7 @@
 
   std::mutex mutex_;
   bool outage_ = false;
-  size_t asked_ = 0;
+  size_t asked_ = 0, ranges_ = 0, longest_ = 0;
   test::Clock clock_;
   test::Store store_;
   net::Server server_;
@@ -386,6 +415,23 @@
   EXPECT_EQ(submit(follower, job("wk-000012", 1)), 201);
 }
 
+// A watch answers with all changes since, whatever their size: after a long cut they are more than
+// a node has memory for. It reads the rows as they are instead.
+TEST_F(Loopback, FarBehindTheLedgerIsReadAnew) {
+  ASSERT_TRUE(until([&] { return a.role() == Role::leading || b.role() == Role::leading; }));
+  EXPECT_EQ(submit(a, job("wk-000021", 3)), 201);
+  EXPECT_TRUE(until([&] { return standing(b, "wk-000021") == "done"; }));
+  state.set_outage(true);
+  state.change_much(5000);
+  std::this_thread::sleep_for(std::chrono::seconds(4));  // longer than a short trouble
+  state.set_outage(false);
+  EXPECT_EQ(submit(a, job("wk-000022", 3)), 201);
+  EXPECT_TRUE(until([&] { return standing(b, "wk-000022") == "done"; }));
+  EXPECT_EQ(standing(b, "wk-000021"), "done");
+  EXPECT_EQ(standing(a, "wk-000023"), "404");
+  EXPECT_LT(state.longest_watch(), 1000u);
+}
+
 // A thousand workers keep their connections open; only requests being served take a thread.
 TEST(Server, IdleConnectionsTakeNoThreads) {
   const auto threads = [] {
@@ -418,6 +464,113 @@
   server.halt();
 }
 
+int raw_connection(int port) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(static_cast<uint16_t>(port));
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  EXPECT_EQ(::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+  return fd;
+}
+
+void raw_send(int fd, const std::string& path) {
+  const std::string get = "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+  EXPECT_EQ(::send(fd, get.data(), get.size(), MSG_NOSIGNAL), static_cast<ssize_t>(get.size()));
+}
+
+// The first line of the answer; empty: the connection was closed.
+std::string raw_answer(int fd) {
+  char in[4096];
+  const ssize_t n = ::recv(fd, in, sizeof in, 0);
+  const std::string all(in, n > 0 ? static_cast<size_t>(n) : 0);
+  return all.substr(0, all.find('\r'));
+}
+
+// When connections run short, the one that has been idle for longest goes; new ones are served.
+TEST(Server, TheLongestIdleConnectionMakesWay) {
+  net::Server server({"127.0.0.1", 0}, 3, 4, 65536,
+                     [](const httplib::Request&, httplib::Response& r) { r.status = 200; });
+  ASSERT_TRUE(server.start());
+  std::vector<int> fds;
+  for (int i = 0; i < 4; ++i) {
+    fds.push_back(raw_connection(server.port()));
+    raw_send(fds.back(), "/x");
+    EXPECT_EQ(raw_answer(fds.back()), "HTTP/1.1 200 OK") << i;
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));  // until it is known to be idle
+  }
+  EXPECT_EQ(raw_answer(fds[0]), "");  // closed to make way for the fourth
+  for (size_t i = 1; i < 4; ++i) {
+    raw_send(fds[i], "/x");
+    EXPECT_EQ(raw_answer(fds[i]), "HTTP/1.1 200 OK") << i;
+  }
+  for (int fd : fds) ::close(fd);
+  server.halt();
+}
+
+// A request that waited for long, and whose sender has left, is not carried out: it may be as old
+// as the time that the process stood still, and its sender has asked another node since.
+TEST(Server, WhoHasLeftIsNotServed) {
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool go = false;
+  std::vector<std::string> served;
+  net::Server server({"127.0.0.1", 0}, 10, 1, 65536,
+                     [&](const httplib::Request& q, httplib::Response& r) {
+                       std::unique_lock lock(mutex);
+                       served.push_back(q.target);
+                       changed.notify_all();
+                       changed.wait(lock, [&] { return go; });
+                       r.status = 200;
+                     });
+  ASSERT_TRUE(server.start());
+  const int busy = raw_connection(server.port());
+  raw_send(busy, "/busy");
+  {
+    std::unique_lock lock(mutex);
+    changed.wait(lock, [&] { return !served.empty(); });  // the only thread is taken
+  }
+  const int leaves = raw_connection(server.port()), waits = raw_connection(server.port());
+  raw_send(leaves, "/leaves");
+  ::close(leaves);
+  raw_send(waits, "/waits");
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  {
+    std::lock_guard lock(mutex);
+    go = true;
+    changed.notify_all();
+  }
+  EXPECT_EQ(raw_answer(busy), "HTTP/1.1 200 OK");
+  EXPECT_EQ(raw_answer(waits), "HTTP/1.1 200 OK");
+  ::close(busy);
+  ::close(waits);
+  server.halt();
+  EXPECT_EQ(served, (std::vector<std::string>{"/busy", "/waits"}));
+}
+
+// A hire or a return is not sent by a node that is not sure any more to lead.
+TEST(Cloud, NothingIsSentByOneThatMayLeadNoMore) {
+  std::atomic<int> asked{0};
+  net::Server server({"127.0.0.1", 0}, 4, 4, 65536,
+                     [&](const httplib::Request&, httplib::Response& r) {
+                       ++asked;
+                       put(r, 200, {{"crofts", {"m-1"}}});
+                     });
+  ASSERT_TRUE(server.start());
+  {
+    net::Budget budget(100);
+    cloud::Client client({"127.0.0.1", server.port()}, budget);
+    const Hire hire{"h-1", "box", "a", false, 1};
+    EXPECT_EQ(client.hire(hire, [] { return false; }).outcome, CloudOutcome::refused);
+    EXPECT_EQ(client.give_back({"m-1"}, [] { return false; }), CloudOutcome::refused);
+    EXPECT_EQ(asked, 0);
+    EXPECT_EQ(client.hire(hire, [] { return true; }).machines.size(), 1u);
+    EXPECT_EQ(client.give_back({"m-1"}, [] { return true; }), CloudOutcome::done);
+    EXPECT_EQ(asked, 2);
+  }
+  server.halt();
+}
+
 TEST(Mesh, ViewsAreExchanged) {
   mesh::View heard;
   net::Server server(
--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -25,8 +25,9 @@
 //   at T abort ID
 //   at T ask ID                   poll for a job that may never have been submitted
 //   at T crash leader|all|K [for S]
+//   at T freeze leader|K for S    stands still while its clocks run on
 //   at T cut leader|K from state|workers|users|siblings|all for S [hold]
-//   at T unplug MACHINES for S [hold]     cut from all controllers, a count of machines
+//   at T unplug MACHINES [in ZONE] for S [hold]     cut from all controllers, a count of machines
 //   at T state_outage S
 //   at T cloud_outage S
 //   at T deafen MACHINES for S    their reports arrive; no answer or command reaches them
@@ -43,6 +44,7 @@
 //   expect machines at_most N     at the end
 //   expect hires at_most N
 //   expect returns at_least N
+//   expect returns at_most N by T
 //   expect leader                 at the end
 //   expect all_known              every accepted job is done or aborted at the end
 //   expect fair                   the users' shares: half of each class, team and class's largest
@@ -133,6 +135,9 @@
     }
     if (until <= 0) wrong(0, "no `until`");
     if (expects.empty()) wrong(0, "nothing is expected");
+    for (const auto& [n, w] : expects)
+      if (const double t = by(w, n); w[1] == "returns" && t < until)
+        world_->clock.at(t, [this, n = n] { returns_at_[n] = world_->returns; });
     world_->start();
     world_->clock.run(until);
     if (!seed)
@@ -142,6 +147,12 @@
   }
 
  private:
+  static double by(const Words& w, int line) {
+    for (size_t i = 2; i < w.size(); ++i)
+      if (w[i] == "by") return number(w, i + 1, line);
+    return 1e18;
+  }
+
   static TypeInfo default_type() {
     TypeInfo t;
     t.name = "box";
@@ -341,6 +352,18 @@
           if (who == "leader") break;
         }
       });
+    } else if (what == "freeze") {
+      const std::string who = word(w, 3, line);
+      const double s = option("for", 10);
+      world->clock.at(t, [world, who, s] {
+        for (size_t i = 0; i < world->nodes.size(); ++i) {
+          SimNode* n = world->nodes[i].get();
+          if (n->alive && (who == "leader" ? n == world->leader() : who == std::to_string(i))) {
+            n->freeze(s);
+            break;
+          }
+        }
+      });
     } else if (what == "cut") {
       const std::string who = word(w, 3, line), from = word(w, 5, line);
       const double s = option("for", 10);
@@ -379,9 +402,12 @@
       size_t left = static_cast<size_t>(number(w, 3, line));
       const double s = option("for", 10);
       const bool hold = flag("hold");
-      world->clock.at(t, [world, left, s, hold]() mutable {
+      std::string zone;
+      for (size_t i = 4; i < w.size(); ++i)
+        if (w[i] == "in") zone = word(w, i + 1, line);
+      world->clock.at(t, [world, left, s, hold, zone]() mutable {
         for (auto& [name, m] : world->workers) {
-          if (m->gone || !m->up) continue;
+          if (m->gone || !m->up || (!zone.empty() && m->zone != zone)) continue;
           if (left-- == 0) break;
           for (size_t i = 0; i < world->nodes.size(); ++i)
             world->cut("n" + std::to_string(i), name, s, hold);
@@ -432,16 +458,12 @@
       for (const std::string& x : w) text += x + " ";
       failures_.push_back("line " + std::to_string(line) + ": " + text + "- was " + was);
     };
-    auto by = [&] {
-      for (size_t i = 2; i < w.size(); ++i)
-        if (w[i] == "by") return number(w, i + 1, line);
-      return 1e18;
-    };
     if (what == "machines" || what == "hires" || what == "returns") {
       const double n = number(w, 3, line);
-      const double is = static_cast<double>(what == "machines" ? world_->machines_up()
-                                            : what == "hires"  ? world_->hires
-                                                               : world_->returns);
+      const double is = static_cast<double>(what == "machines"        ? world_->machines_up()
+                                            : what == "hires"         ? world_->hires
+                                            : returns_at_.count(line) ? returns_at_.at(line)
+                                                                      : world_->returns);
       if (w[2] == "at_most" ? is > n : is < n) miss(std::to_string(is));
       return;
     }
@@ -472,12 +494,12 @@
     if (it == world_->jobs.end()) wrong(line, "no such job");
     const World::UserJob& j = it->second;
     if (what == "done") {
-      if (j.done_at < 0 || j.done_at > by())
+      if (j.done_at < 0 || j.done_at > by(w, line))
         miss(j.told + ", done at " + std::to_string(j.done_at));
     } else if (what == "aborted") {
       if (j.aborted_at < 0) miss(j.told);
     } else if (what == "started") {
-      if (j.first_start < 0 || j.first_start > by()) miss(std::to_string(j.first_start));
+      if (j.first_start < 0 || j.first_start > by(w, line)) miss(std::to_string(j.first_start));
     } else if (what == "starts") {
       const double n = number(w, 4, line);
       if (w[3] == "at_most" ? j.starts > n : j.starts < n) miss(std::to_string(j.starts));
@@ -494,6 +516,7 @@
   std::map<std::pair<std::string, bool>, int> capacity_;
   double late_copies_ = 0, late_copies_s_ = 0;
   double lose_ = 0, repeat_ = 0, slow_ = 0, never_boots_ = 0;
+  std::map<int, size_t> returns_at_;  // by the line that expects them
   std::unique_ptr<World> world_;
   std::vector<std::string> failures_;
 };
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -439,12 +439,41 @@
   next_list_ = next_renewal_ = 0;
   waiting_.clear();
   heard_sibling_ = w_.clock.now;
+  still_until = -1;
+  vigil_ = Vigil(w_.clock.now);
+  pulse();
   watch();
   lead();
   round();
   mesh();
 }
 
+void SimNode::freeze(double s) { still_until = w_.clock.now + s; }
+
+// Its own timers fire when it wakes.
+void SimNode::later(double s, void (SimNode::*loop)()) {
+  w_.clock.at(std::max(w_.clock.now + s, still_until + 0.001), [this, life = life_, loop] {
+    if (life != life_) return;
+    if (w_.clock.now < still_until) return later(0, loop);
+    (this->*loop)();
+  });
+}
+
+// As the daemon's (Node::feel, Node::sure).
+bool SimNode::sure() {
+  const double still = vigil_.feel(w_.clock.now);
+  if (still > 0) {
+    if (core_) core_->slept(still, w_.clock.now);
+    heard_sibling_ = w_.clock.now;
+  }
+  return core_ && vigil_.sure(w_.clock.now, kLeaseTtl);
+}
+
+void SimNode::pulse() {
+  sure();
+  later(0.25, &SimNode::pulse);
+}
+
 // Siblings that hear one another; the daemon's exchange of views tells more, and no rule rests on
 // it.
 void SimNode::mesh() {
@@ -456,9 +485,7 @@
           [this, life](bool ok) {
             if (ok && life == life_) heard_sibling_ = w_.clock.now;
           });
-  w_.clock.after(1, [this, life] {
-    if (life == life_) mesh();
-  });
+  later(1, &SimNode::mesh);
 }
 
 void SimNode::crash() {
@@ -513,9 +540,7 @@
         }
         for (auto& f : *asked) f(good);
         if (life != life_) return;
-        w_.clock.after(core_ || !waiting_.empty() ? 0.1 : 0.4, [this, life] {
-          if (life == life_) watch();
-        });
+        later(core_ || !waiting_.empty() ? 0.1 : 0.4, &SimNode::watch);
       });
 }
 
@@ -535,8 +560,11 @@
             if (!w_.store.outage) *kept = w_.store.renew(lease) ? 1 : 2;
           },
           [this, life, kept, lease, now](bool ok) {
-            if (life != life_ || !core_ || lease != lease_ || !ok) return;
-            if (*kept == 1) renewed_ = now;
+            if (life != life_) return;
+            sure();
+            vigil_.asked(now);
+            if (!core_ || lease != lease_ || !ok) return;
+            if (*kept == 1) vigil_.kept(now);
             if (*kept == 2) step_down("lease ended");
           });
     }
@@ -568,9 +596,11 @@
               if (life != life_) return;
               campaigning_ = false;
               if (!good || mirror_.leader_stamp() != *token) return;
+              sure();
+              if (w_.clock.now - now > kLeaseTtl * Vigil::kDrift) return;  // too late
               token_ = *token;
               lease_ = *lease;
-              renewed_ = now;
+              vigil_.kept(now);
               next_renewal_ = 0;
               core_ = std::make_unique<Core>(w_.settings, w_.types, token_, w_.clock.now);
               core_->load(mirror_, w_.clock.now);
@@ -578,14 +608,11 @@
           });
     });
   }
-  w_.clock.after(0.1, [this, life] {
-    if (life == life_) lead();
-  });
+  later(0.1, &SimNode::lead);
 }
 
 void SimNode::round() {
-  const uint64_t life = life_;
-  if (core_ && w_.clock.now - renewed_ <= kLeaseTtl) {
+  if (sure() && vigil_.runs(w_.clock.now, kLeaseTtl)) {
     if (core_->lost())
       step_down("lost");
     else if (core_->deaf(w_.clock.now))
@@ -596,13 +623,11 @@
   commit();
   direct();
   cloud();
-  w_.clock.after(0.2, [this, life] {
-    if (life == life_) round();
-  });
+  later(0.2, &SimNode::round);
 }
 
 void SimNode::commit() {
-  if (!core_ || committing_) return;
+  if (!sure() || committing_) return;
   auto p = core_->next_transaction(w_.clock.now);
   if (!p) return;
   committing_ = true;
@@ -637,7 +662,7 @@
 }
 
 void SimNode::direct() {
-  if (!core_) return;
+  if (!sure()) return;
   while (auto d = core_->next_direct(w_.clock.now)) {
     const uint64_t life = life_, token = token_;
     const std::string name = d->addr.substr(std::string("worker-").size());
@@ -657,7 +682,7 @@
 }
 
 void SimNode::cloud() {
-  if (!core_ || cloud_busy_) return;
+  if (!sure() || cloud_busy_) return;
   const uint64_t life = life_, token = token_;
   const double now = w_.clock.now;
   const std::string me = "n" + std::to_string(index_);
@@ -709,6 +734,7 @@
   if (core_ && w_.nodes.size() > 1 && w_.clock.now - heard_sibling_ > 5 &&
       w_.clock.now - heard_state_ > 5)
     return a;
+  if (core_ && !sure()) return a;  // 503: it slept, and does not know yet whether it still leads
   if (core_ && !core_->lost()) {
     const ReportReply out = core_->on_report(r, w_.clock.now);
     if (out.verdict != ReportReply::Verdict::deposed) {
@@ -833,11 +859,17 @@
     return nullptr;
   };
   auto settled = std::make_shared<bool>(false);
-  auto finish = [settled, done](bool ok) {
+  auto settle = [settled, done](bool ok) {
     if (*settled) return;
     *settled = true;
     done(ok);
   };
+  auto finish = [this, from, settle](bool ok) {
+    if (const double at = awake_at(from); at > clock.now)
+      clock.at(at, [settle, ok] { settle(ok); });
+    else
+      settle(ok);
+  };
   clock.after(timeout, [finish] { finish(false); });
   const double lag = kWire + (chance() < slow ? 2.5 * chance() : 0);
   // What runs at the far end runs only while there is somebody.
@@ -845,12 +877,19 @@
     if (to[0] == 'n' && to.size() <= 3) return nodes[std::stoul(to.substr(1))]->alive;
     return true;
   };
-  auto arrive = [this, from, to, serve, finish, there, open] {
+  const auto answer = [this, from, to, serve, finish, there, open] {
     if (!there()) return;
     serve();
     if (open(from, to) || chance() < lose) return;  // the answer is lost
     clock.after(kWire, [finish] { finish(true); });
   };
+  // At a place that stands still it is read later, whether or not anybody still waits for it.
+  auto arrive = [this, to, answer] {
+    if (const double at = awake_at(to); at > clock.now)
+      clock.at(at, answer);
+    else
+      answer();
+  };
   if (Cut* c = open(from, to)) {
     if (c->hold)
       clock.at(c->until + 0.01, [serve, there] {
@@ -934,6 +973,12 @@
   return best;
 }
 
+double World::awake_at(const std::string& place) const {
+  if (place[0] != 'n' || place.size() > 3) return clock.now;
+  const SimNode& n = *nodes[std::stoul(place.substr(1))];
+  return n.alive && n.still_until > clock.now ? n.still_until + 0.001 : clock.now;
+}
+
 SimNode* World::any_node(size_t& index) {
   for (int i = 0; i < 8; ++i) {
     index = random() % nodes.size();
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -16,6 +16,7 @@
 
 #include "checker.h"
 #include "core/core.h"
+#include "core/vigil.h"
 
 namespace rookdyke::test {
 
@@ -67,6 +68,9 @@
   void end_outage();
   std::vector<Event> since(uint64_t revision) const;
   const Entry* get(const std::string& key) const;
+  std::vector<std::pair<std::string, Entry>> rows_after(const std::string& key) const {
+    return {rows_.upper_bound(key), rows_.end()};
+  }
 
  private:
   void expire(uint64_t lease);
@@ -154,6 +158,9 @@
   uint64_t token() const { return token_; }
   const std::string& label() const { return label_; }
   void step_down(const std::string& why, double rest = 0);
+  // It stands still for so long, in the middle of whatever it waits for; its clocks run on.
+  void freeze(double s);
+  double still_until = -1;
 
   struct ReportAnswer {
     int status = 503;
@@ -167,6 +174,8 @@
             std::function<void(const std::string&)> reply);
 
  private:
+  void later(double s, void (SimNode::*loop)());
+  bool sure();
   void watch();
   void lead();
   void round();
@@ -174,6 +183,7 @@
   void cloud();
   void direct();
   void mesh();
+  void pulse();
   void barrier(std::function<void(bool)> then);
   void settle(ledger::Transaction t, bool repeat, int tries,
               std::function<void(std::optional<ledger::Result>)> then);
@@ -187,7 +197,8 @@
   bool loaded_ = false, campaigning_ = false;
   std::unique_ptr<Core> core_;
   uint64_t token_ = 0, lease_ = 0;
-  double renewed_ = 0, rest_until_ = 0, heard_state_ = -1e9, heard_sibling_ = -1e9;
+  Vigil vigil_;
+  double rest_until_ = 0, heard_state_ = -1e9, heard_sibling_ = -1e9;
   std::vector<std::function<void(bool)>> waiting_;
   bool committing_ = false, cloud_busy_ = false;
   double next_list_ = 0, next_renewal_ = 0;
@@ -272,6 +283,9 @@
   void try_abort(const std::string& id);
   void poll(const std::string& id);
   SimNode* any_node(size_t& index);
+  // When what arrives or is answered at a place is looked at: now, but for a node that stands
+  // still.
+  double awake_at(const std::string& place) const;
   std::map<std::pair<std::string, std::string>, Cut> cuts_;
   uint64_t next_machine_ = 0, steps_ = 0;
 };
