--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -27,6 +27,7 @@
 // An answer that took longer has nobody who waits for it; what it says may be older than what its
 // user has been told since.
 constexpr double kPollTooLate = 2;
+constexpr double kSlow = 0.2;   // an answer that took longer is logged
 constexpr double kTooLate = 1;  // beyond the time that a request is given
 
 void reply(httplib::Response& res, int status, const json& body) {
@@ -89,6 +90,16 @@
   static const std::string jobs = std::string(wire::kJobs) + "/";
   const bool post = req.method == "POST";
   const bool get = req.method == "GET";
+  struct Watch {  // what took long, or was not taken
+    const httplib::Request& req;
+    const httplib::Response& res;
+    double from = steady_now();
+    ~Watch() {
+      const double took = steady_now() - from;
+      if (took > kSlow || res.status >= 500)
+        spdlog::debug("{} {}: {} after {:.0f} ms", req.method, req.target, res.status, 1000 * took);
+    }
+  } watch{req, res};
   if (path == wire::kReport && post) {
     report(req, res);
   } else if (path == wire::kHealth && get) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -387,7 +387,7 @@
   spdlog::warn("this process did not run for {:.1f} s", still);
   // The silence of others was our own.
   if (core_) core_->slept(still, now);
-  siblings_at_ = now;
+  siblings_at_ = std::min(now, siblings_at_ + still);
   lead_cv_.notify_all();
 }
 
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -103,7 +103,7 @@
   std::unique_ptr<Core> core_;
   uint64_t token_ = 0, lease_ = 0;
   double rest_until_ = 0;
-  Vigil vigil_;  // of our lease, and of standing still
+  Vigil vigil_;                  // of our lease, and of standing still
   std::vector<TypeInfo> types_;  // as the cloud tells, until the ledger has them
   uint64_t highest_token_ = 0;   // heard of from anybody
   std::string highest_leader_;
