A node alone in its trouble lets refused users' connections go; limits are checked

Its 503 now closes the connection while siblings are fine. The process's own limit of file descriptors is raised, and too few sockets or too little memory for the fleet is warned of once.

--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -23,7 +23,7 @@
 // told so at once, not when its user would give up anyway.
 constexpr double kQueuePatience = 0.9;
 constexpr size_t kPool = 4;
-constexpr double kHealthPatience = 2.5;
+constexpr double kHealthPatience = 2;
 // An answer that took longer has nobody who waits for it; what it says may be older than what its
 // user has been told since.
 constexpr double kPollTooLate = 2;
@@ -35,14 +35,6 @@
   res.set_content(wire::pack(body), kType);
 }
 
-// The service cannot take it now and says so at once, and when to come back: spread out, so that
-// not all return in the same second after an outage.
-void later(httplib::Response& res, const char* why) {
-  static std::atomic<unsigned> turn{0};
-  res.set_header("Retry-After", std::to_string(1 + turn++ % 3));
-  reply(res, 503, {{"error", why}});
-}
-
 bool ends_with(const std::string& s, const std::string& end) {
   return s.size() >= end.size() && s.compare(s.size() - end.size(), end.size(), end) == 0;
 }
@@ -53,6 +45,20 @@
 
 }  // namespace
 
+// The service cannot take it now and says so at once, and when to come back: spread out, so that
+// not all return in the same second after an outage. A node that is alone in its trouble lets the
+// connection go too: kept, it would bring the same user back here, until the load balancer finds
+// out.
+void Node::later(httplib::Response& res, const char* why) {
+  static std::atomic<unsigned> turn{0};
+  res.set_header("Retry-After", std::to_string(1 + turn++ % 3));
+  if (steady_now() - siblings_ok_at_ < kHealthPatience) {
+    res.set_header("Connection", "close");
+    net::Server::close_after_answer();
+  }
+  reply(res, 503, {{"error", why}});
+}
+
 // A connection to the state service, borrowed for one user's request.
 class PooledState {
  public:
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include <malloc.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <sys/resource.h>
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
@@ -22,6 +23,18 @@
   spdlog::set_default_logger(log);
 }
 
+// Every socket is a file descriptor; some more are for epoll and the log.
+void raise_descriptors(size_t sockets) {
+  const rlim_t need = sockets + 64;
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= need) return;
+  limit.rlim_cur = std::min(need, limit.rlim_max);
+  if (setrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur < need)
+    spdlog::warn(
+        "{} sockets are allowed by the settings, but only {} file descriptors by the system",
+        sockets, limit.rlim_cur);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -49,6 +62,7 @@
     return 2;
   }
   set_up_log(config.core.label);
+  raise_descriptors(config.max_sockets);
   const auto bind = config.bind, mesh = config.mesh;
   rookdyke::Node node(std::move(config));
   if (!node.start()) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -1,8 +1,11 @@
 #include "daemon/node.h"
 
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <fstream>
+#include <utility>
 
 namespace rookdyke {
 
@@ -492,6 +495,21 @@
 
 // ---------------------------------------------------------------- the core's threads
 
+// One clear warning for each limit that does not carry the fleet.
+void Node::check_limits(size_t machines) {
+  const size_t room = connections_from_outside(config_);
+  if (machines > room && !std::exchange(warned_sockets_, true))
+    spdlog::warn("max_sockets leaves {} connections for workers and users, fewer than {} machines",
+                 room, machines);
+  std::ifstream statm("/proc/self/statm");
+  double pages = 0, resident = 0;
+  if (!(statm >> pages >> resident)) return;
+  const double mb = resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1 << 20);
+  if (config_.memory_mb > 0 && mb > 0.8 * config_.memory_mb && !std::exchange(warned_memory_, true))
+    spdlog::warn("{:.0f} MB of the {:.0f} MB that the settings allow are in use", mb,
+                 config_.memory_mb);
+}
+
 void Node::engine_loop() {
   std::unique_lock lock(mutex_);
   double next_summary = 0, last_round = 0;
@@ -528,6 +546,7 @@
               "jobs {} waiting {} live {}; machines ready {} booting {} draining {} "
               "silent {}, target {}",
               s.jobs, s.waiting, s.live, s.ready, s.booting, s.draining, s.silent, s.target);
+          check_limits(s.ready + s.booting + s.draining);
         }
       }
     } else if (role_ == Role::doubtful && core_ && core_->lost()) {
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -59,6 +59,7 @@
   void abort(const std::string& id, httplib::Response& res);
   void report(const httplib::Request& req, httplib::Response& res);
   void health(httplib::Response& res);
+  void later(httplib::Response& res, const char* why);
   void serve_mesh(const httplib::Request& req, httplib::Response& res);
   std::optional<ledger::Result> settle(const ledger::Transaction& t, double deadline);
 
@@ -78,9 +79,10 @@
   void direct_loop();
   void mesh_loop();
   void hear(const mesh::View& v);
-  void share_writes();           // under mutex_
-  bool alone(double now) const;  // no sibling answers, nor does the state service
-  std::string new_mark();        // under mutex_
+  void check_limits(size_t machines);  // under mutex_
+  void share_writes();                 // under mutex_
+  bool alone(double now) const;        // no sibling answers, nor does the state service
+  std::string new_mark();              // under mutex_
   // Whether asking the state service now is in vain as far as we know.
   bool state_down() const { return watch_failures_ >= 2; }
   mesh::View view() const;
@@ -103,6 +105,7 @@
   std::unique_ptr<Core> core_;
   uint64_t token_ = 0, lease_ = 0;
   double rest_until_ = 0;
+  bool warned_sockets_ = false, warned_memory_ = false;
   Vigil vigil_;                  // of our lease, and of standing still
   std::vector<TypeInfo> types_;  // as the cloud tells, until the ledger has them
   uint64_t highest_token_ = 0;   // heard of from anybody
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -29,6 +29,7 @@
 constexpr size_t kStack = 1 << 20;  // reserved, not used: the library matches headers recursively
 
 constexpr const char* kLeft = "/left";
+thread_local bool closing = false;  // of the request that this thread serves
 
 bool wait_for(int fd, short events, int ms) {
   pollfd p{fd, events, 0};
@@ -243,6 +244,8 @@
   ::close(wake_);
 }
 
+void Server::close_after_answer() { closing = true; }
+
 void Server::close(const std::shared_ptr<ConnectionStream>& stream) {
   --open_;
   ::shutdown(stream->socket(), SHUT_RDWR);
@@ -337,9 +340,10 @@
   if (!left && std::chrono::steady_clock::now() - since > kLongWait) left = stream->peer_left();
   do {
     bool closed = false;
+    closing = false;
     const bool ok = process_request(*stream, left, closed,
                                     [left](httplib::Request& r) { r.path = left ? kLeft : "/"; });
-    if (!stream->flush() || !ok || closed || left) return close(stream);
+    if (!stream->flush() || !ok || closed || left || closing) return close(stream);
   } while (stream->buffered());
   keep(std::move(stream));
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -52,6 +52,8 @@
   bool start();
   void halt();
   int port() const { return at_.port; }
+  // For a handler: the connection is closed after this answer.
+  static void close_after_answer();
 
  private:
   using Time = std::chrono::steady_clock::time_point;
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -548,6 +548,25 @@
   EXPECT_EQ(served, (std::vector<std::string>{"/busy", "/waits"}));
 }
 
+// A node that is alone in its trouble answers at once and lets the connection go, so that its
+// user's next request reaches another.
+TEST(Server, AHandlerMayCloseAfterItsAnswer) {
+  net::Server server({"127.0.0.1", 0}, 10, 2, 65536,
+                     [](const httplib::Request& q, httplib::Response& r) {
+                       r.status = q.target == "/close" ? 503 : 200;
+                       if (q.target == "/close") net::Server::close_after_answer();
+                     });
+  ASSERT_TRUE(server.start());
+  const int fd = raw_connection(server.port());
+  raw_send(fd, "/x");
+  EXPECT_EQ(raw_answer(fd), "HTTP/1.1 200 OK");
+  raw_send(fd, "/close");
+  EXPECT_EQ(raw_answer(fd), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_EQ(raw_answer(fd), "");
+  ::close(fd);
+  server.halt();
+}
+
 // A hire or a return is not sent by a node that is not sure any more to lead.
 TEST(Cloud, NothingIsSentByOneThatMayLeadNoMore) {
   std::atomic<int> asked{0};
