--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -5,6 +5,8 @@
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <httplib.h>
+#include <spdlog/sinks/ringbuffer_sink.h>
+#include <spdlog/spdlog.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -432,6 +434,46 @@
   EXPECT_LT(state.longest_watch(), 1000u);
 }
 
+// Limits that cannot carry the fleet: one clear warning, and the service goes on.
+TEST(Limits, TooFewSocketsAreWarnedOfOnce) {
+  const auto ring = std::make_shared<spdlog::sinks::ringbuffer_sink_mt>(2000);
+  const auto before = spdlog::default_logger();
+  const auto logger = std::make_shared<spdlog::logger>("limits", ring);
+  logger->set_level(spdlog::level::warn);
+  spdlog::set_default_logger(logger);
+  const auto warnings = [&] {
+    size_t n = 0;
+    for (const std::string& line : ring->last_formatted())
+      n += line.find("max_sockets leaves 3 connections") != std::string::npos;
+    return n;
+  };
+  {
+    StateService state;
+    CloudAndWorkers cloud;
+    Config c = config("n-a", state.port(), cloud.port());
+    c.nodes = 1;
+    c.core.teams = {{"t", 0, 0, 0, 0}};
+    c.max_sockets = 6;
+    Node node(c);
+    ASSERT_TRUE(node.start());
+    cloud.use({{"n-a", node.port()}});
+    const std::string body = wire::pack(job("wk-000031", 4000));  // far more than four machines
+    EXPECT_TRUE(until([&] {
+      httplib::Client http("127.0.0.1", node.port());
+      const auto r = http.Post("/v2/runs", body, "application/msgpack");
+      return r && (r->status == 201 || r->status == 200);
+    }));
+    EXPECT_TRUE(until([&] { return warnings() > 0; }));
+    EXPECT_TRUE(until([&] {
+      httplib::Client http("127.0.0.1", node.port());
+      const auto r = http.Get("/v2/runs/wk-000031");
+      return r && r->status == 200 && body_of(r->body).at("done").get<int>() > 0;
+    }));
+  }
+  EXPECT_EQ(warnings(), 1u);
+  spdlog::set_default_logger(before);
+}
+
 // A thousand workers keep their connections open; only requests being served take a thread.
 TEST(Server, IdleConnectionsTakeNoThreads) {
   const auto threads = [] {
