One place each for who may act, a failed look at the ledger, a machine's patience

Node::acts holds the check that four threads repeated; a ledger that cannot be asked and a watch that fails end in the same lines; an election that took too long is told by Vigil::runs instead of its own sum; Core::waits_for says how long a machine may be silent, once; scenario lines find the node they mean in one way.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -356,6 +356,7 @@
   Index home(const Job& job) const;
   double silence_limit() const;
   double patience() const;
+  double waits_for(const Machine& m, double now) const;
   bool many_silent(double now) const;
   bool holds_cancelled(const Machine& m, double now, double longer_than = -1) const;
   void drop_machine(Machine& m, double now, const char* why);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -76,6 +76,11 @@
   });
 }
 
+// How long this machine may be silent until it is given up.
+double Core::waits_for(const Machine& m, double now) const {
+  return many_silent_ && !holds_cancelled(m, now) ? patience() : silence_limit();
+}
+
 // The type whose machines a job's demand is counted for: the cheapest share of a machine.
 Index Core::home(const Job& job) const {
   Index best = kNone;
@@ -315,8 +320,7 @@
           condemn(m, "takes up none of our answers");
         } else if (m.was_up) {
           // The ledger has tasks on it, so it was up under a predecessor.
-          const double most = many_silent_ && !holds_cancelled(m, now) ? patience() : quiet;
-          if (silent > std::max(most, quiet + kTakeoverGrace))
+          if (silent > std::max(waits_for(m, now), quiet + kTakeoverGrace))
             condemn(m, "not heard since the takeover");
         } else if (m.unlisted_at >= 0 && now - m.hired_at > 2 * settings_.list_lag_s + 5) {
           condemn(m, "rented under a predecessor and not listed");
@@ -329,7 +333,7 @@
       case MachineState::draining:
         if (m.recall_at >= 0 && now > m.recall_at + 1 && silent > 1.5 * settings_.report_s) {
           condemn(m, "taken back");
-        } else if (silent > (many_silent_ && !holds_cancelled(m, now) ? patience() : quiet)) {
+        } else if (silent > waits_for(m, now)) {
           // Silence proves nothing; the cloud's answer to returning it does (invariant 3).
           condemn(m, "silent");
         } else if (m.unlisted_at >= 0 && silent > 2 * settings_.report_s) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -224,16 +224,9 @@
       }
     }
     if (reachable && !loaded) reachable = loaded = reload(client);
-    if (!reachable) {
-      std::unique_lock lock(barrier_mutex_);
-      barrier_failed_ = asked;
-      ++watch_failures_;
-      barrier_cv_.notify_all();
-      watch_cv_.wait_for(lock, std::chrono::milliseconds(loaded ? 150 : 300));
-      continue;
-    }
     // The watch catches up with what changed between the pages of a reload.
-    auto w = client.watch(ledger::kPrefix, revision_, 0);
+    state::Client::Watch w;
+    if (reachable) w = client.watch(ledger::kPrefix, revision_, 0);
     if (w.kind == state::Client::Watch::Kind::too_old) {
       spdlog::warn("ledger: watch from revision {} is too old, reading anew", revision_);
       loaded = false;
@@ -262,7 +255,7 @@
     barrier_cv_.notify_all();
     if (!ok) {
       ++watch_failures_;
-      watch_cv_.wait_for(lock, std::chrono::milliseconds(150));
+      watch_cv_.wait_for(lock, std::chrono::milliseconds(loaded ? 150 : 300));
     }
   }
 }
@@ -360,7 +353,8 @@
   }
   const double now = steady_now();
   feel(now);
-  if (now - granted > config_.lease_ttl_s * Vigil::kDrift) {
+  vigil_.kept(granted);
+  if (!vigil_.runs(now, config_.lease_ttl_s)) {
     // It took too long, or we stood still meanwhile: somebody else may lead by now.
     lease_ = *lease;
     set_role(Role::follower, "elected too late");
@@ -368,7 +362,6 @@
   }
   lease_ = *lease;
   token_ = r.revision;
-  vigil_.kept(granted);
   core_ = std::make_unique<Core>(config_.core, types, token_, now);
   core_->set_day_offset(
       std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() -
@@ -399,6 +392,8 @@
   return leads() && vigil_.sure(now, config_.lease_ttl_s);
 }
 
+bool Node::acts(double now) { return role_ == Role::leading && core_ && sure(now); }
+
 bool Node::still_sure(uint64_t token) {
   std::lock_guard lock(mutex_);
   return token_ == token && sure(steady_now());
@@ -521,7 +516,7 @@
       lock.lock();
       continue;
     }
-    if (role_ == Role::leading && core_ && sure(steady_now())) {
+    if (acts(steady_now())) {
       const double now = steady_now();
       if (core_->lost()) {
         step_down(Role::follower, "the core lost its claim");
@@ -566,7 +561,7 @@
       nap(lock, commit_cv_, wait);
       continue;
     }
-    if (role_ == Role::leading && core_ && sure(steady_now()))
+    if (acts(steady_now()))
       p = core_->next_transaction(steady_now(), static_cast<size_t>(state_budgets_.writes.there()));
     if (!p) {
       nap(lock, commit_cv_, 0.5);
@@ -589,7 +584,7 @@
   std::unique_lock lock(mutex_);
   while (!stop_) {
     std::optional<Direct> d;
-    if (role_ == Role::leading && core_ && sure(steady_now())) d = core_->next_direct(steady_now());
+    if (acts(steady_now())) d = core_->next_direct(steady_now());
     if (!d) {
       nap(lock, direct_cv_, 1.0);
       continue;
@@ -643,7 +638,7 @@
   std::unique_lock lock(mutex_);
   while (!stop_) {
     const double now = steady_now();
-    const bool lead = role_ == Role::leading && core_ && sure(now);
+    const bool lead = acts(now);
     const uint64_t token = token_;
     const auto may_send = [this, token] { return still_sure(token); };
     const bool want_types = (mirror_.types().empty() && types_.empty()) || lead;
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -92,6 +92,7 @@
   void pulse_loop();
   void feel(double now);            // under mutex_: finds out that this process stood still
   bool sure(double now);            // under mutex_: the lease was looked at since
+  bool acts(double now);            // under mutex_: leads without doubt, and may decide
   bool still_sure(uint64_t token);  // takes mutex_: right before something is sent
   void nap(std::unique_lock<std::mutex>& lock, std::condition_variable& cv, double s);
 
--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -147,6 +147,11 @@
   }
 
  private:
+  // Whether a line's `leader` or number means that node.
+  static bool means(World& world, const std::string& who, size_t i) {
+    return who == "leader" ? world.nodes[i].get() == world.leader() : who == std::to_string(i);
+  }
+
   static double by(const Words& w, int line) {
     for (size_t i = 2; i < w.size(); ++i)
       if (w[i] == "by") return number(w, i + 1, line);
@@ -343,8 +348,7 @@
         for (size_t i = 0; i < world->nodes.size(); ++i) {
           SimNode* n = world->nodes[i].get();
           if (!n->alive) continue;
-          if (who != "all" && (who == "leader" ? n != world->leader() : who != std::to_string(i)))
-            continue;
+          if (who != "all" && !means(*world, who, i)) continue;
           n->crash();
           world->clock.after(back, [n] {
             if (!n->alive) n->boot();
@@ -358,7 +362,7 @@
       world->clock.at(t, [world, who, s] {
         for (size_t i = 0; i < world->nodes.size(); ++i) {
           SimNode* n = world->nodes[i].get();
-          if (n->alive && (who == "leader" ? n == world->leader() : who == std::to_string(i))) {
+          if (n->alive && means(*world, who, i)) {
             n->freeze(s);
             break;
           }
@@ -370,8 +374,7 @@
       const bool hold = flag("hold");
       world->clock.at(t, [world, who, from, s, hold] {
         for (size_t i = 0; i < world->nodes.size(); ++i) {
-          SimNode* n = world->nodes[i].get();
-          if (who == "leader" ? n != world->leader() : who != std::to_string(i)) continue;
+          if (!means(*world, who, i)) continue;
           const std::string me = "n" + std::to_string(i);
           if (from == "all") {
             world->cut(me, "*", s, hold);
