--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -27,8 +27,11 @@
 // An answer that took longer has nobody who waits for it; what it says may be older than what its
 // user has been told since.
 constexpr double kPollTooLate = 2;
-constexpr double kSlow = 0.2;   // an answer that took longer is logged
-constexpr double kTooLate = 1;  // beyond the time that a request is given
+constexpr double kSlow = 0.2;  // an answer that took longer is logged
+// A leader in doubt answers with starts only if it lately had proof of all cancellations.
+constexpr double kFreshHorizon = 3;
+constexpr double kTellPatience = 1.2;  // for the leader to hear of a cancellation
+constexpr double kTooLate = 1;         // beyond the time that a request is given
 
 void reply(httplib::Response& res, int status, const json& body) {
   res.status = status;
@@ -165,7 +168,7 @@
     if (a->standing == Standing::open && steady_now() > deadline + kTooLate)
       later(res, "too late");  // we stood still: others may have told its user more since
     else
-      reply(res, 200, wire::job_answer(*id, *a, false));
+      answer_job(*id, *a, false, deadline, res);
     return true;
   };
   auto decided_elsewhere = [&] {  // before any 400 or 422: nobody may have accepted it
@@ -261,19 +264,67 @@
   const double asked = steady_now();
   if (!wire::valid_job_id(id)) return reply(res, 404, {{"error", "no such job"}});
   {
-    std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
     const MirrorJob* j = mirror_.job(id);
-    if (j && j->row.standing != Standing::open)  // final: no newer answer can exist
-      return reply(res, 200, wire::job_answer(id, *mirror_.answer(id), true));
+    if (j && j->row.standing != Standing::open) {  // final: no newer answer can exist
+      const JobAnswer a = *mirror_.answer(id);
+      lock.unlock();
+      return answer_job(id, a, true, asked + kPollPatience, res);
+    }
   }
   // Invariant 5: anything else could be older than what another node has said.
   if (!barrier(kPollPatience)) return later(res, "the ledger does not answer");
-  std::lock_guard lock(mutex_);
-  // Invariant 5 again: we may have stood still between the barrier and here.
-  if (steady_now() - asked > kPollTooLate) return later(res, "too late");
-  const auto a = mirror_.answer(id);
+  std::optional<JobAnswer> a;
+  {
+    std::lock_guard lock(mutex_);
+    a = mirror_.answer(id);
+    // Invariant 5 again: we may have stood still between the barrier and here.
+    if (steady_now() - asked > kPollTooLate) return later(res, "too late");
+    if (a && a->standing != Standing::aborted)
+      return reply(res, 200, wire::job_answer(id, *a, true));
+  }
   if (!a) return reply(res, 404, {{"error", "no such job"}});
-  reply(res, 200, wire::job_answer(id, *a, true));
+  answer_job(id, *a, true, asked + kPollPatience, res);
+}
+
+// Every answer about a known job, but for open ones to polls, goes out here.
+void Node::answer_job(const std::string& id, const JobAnswer& a, bool counts, double deadline,
+                      httplib::Response& res) {
+  if (a.standing == Standing::aborted && !may_say_aborted(id, deadline))
+    return later(res, "the leader has not heard of the cancellation");
+  reply(res, 200, wire::job_answer(id, a, counts));
+}
+
+// The one place that decides whether a user may hear "aborted" of a job whose cancellation is
+// durable: whoever may answer workers now has to know of it, or it would keep their leases and
+// those tasks alive (core/cancellations.h). `leader`: whose key the write was conditional on, 0:
+// unknown.
+bool Node::may_say_aborted(const std::string& id, double deadline, uint64_t leader) {
+  std::unique_lock lock(mutex_);
+  const MirrorJob* j = mirror_.job(id);
+  if (!j || j->row.standing != Standing::aborted) return false;
+  const uint64_t stamp = j->stamp;
+  if (known_cancellations_.has(id, stamp)) return true;
+  // Our own core took the row with the mirror. A leader that slept may be none any more.
+  if (leads()) {
+    const bool ours = core_ && !core_->lost() && sure(steady_now()) && token_ >= known_token();
+    if (ours) known_cancellations_.acknowledge(id, stamp);
+    return ours;
+  }
+  Telling& t = tellings_[id];
+  if (t.waiting++ == 0) t.tried = false;
+  t.leader = std::max(t.leader, leader);
+  tell_cv_.notify_one();
+  const auto until =
+      std::chrono::steady_clock::now() +
+      std::chrono::duration<double>(std::min(deadline - steady_now(), kTellPatience));
+  // Not told: the ledger may still bring word of how far the leader has read, if both answer.
+  told_cv_.wait_until(lock, until, [&] {
+    return stop_ || known_cancellations_.has(id, stamp) ||
+           (tellings_.at(id).tried && (state_down() || mirror_.leader().empty()));
+  });
+  if (--tellings_.at(id).waiting == 0) tellings_.erase(id);
+  return known_cancellations_.has(id, stamp);
 }
 
 void Node::abort(const std::string& id, httplib::Response& res) {
@@ -282,27 +333,40 @@
   while (true) {
     ledger::Transaction t;
     ledger::JobRow row;
+    std::optional<JobAnswer> over;
+    uint64_t leader = 0;
     if (!barrier(deadline - steady_now())) return later(res, "the ledger does not answer");
     {
       std::lock_guard lock(mutex_);
       const MirrorJob* j = mirror_.job(id);
       if (!j) return reply(res, 404, {{"error", "no such job"}});
-      if (j->row.standing != Standing::open)
-        return reply(res, 200, wire::job_answer(id, *mirror_.answer(id), false));
+      if (j->row.standing != Standing::open) over = mirror_.answer(id);
       t.mark = new_mark();
       row.tasks = j->row.tasks;
       row.per = j->row.per;
       t.conditions = {{ledger::job_key(id), j->stamp}};
+      // Held at the time of the write, so that we know who has to hear of it. While nobody leads
+      // the next leader finds the row; its user has to ask again.
+      if (!mirror_.leader().empty()) {
+        leader = mirror_.leader_stamp();
+        t.conditions.push_back({ledger::kLeaderKey, leader});
+      }
     }
+    if (over) return answer_job(id, *over, false, deadline, res);
     row.standing = Standing::aborted;
+    row.at_s = day_time();
     row.mark = t.mark;
     const json value = ledger::encode(row);
     t.changes = {{ledger::job_key(id), false, value, 0}};
     const auto r = settle(t, deadline);
     if (!r || r->outcome == Outcome::refused) return later(res, "the ledger does not answer");
     if (r->outcome == Outcome::conflict) continue;  // it moved: look again
-    std::lock_guard lock(mutex_);
-    apply({ledger::job_key(id), value, r->revision, false});
+    {
+      std::lock_guard lock(mutex_);
+      apply({ledger::job_key(id), value, r->revision, false});
+    }
+    if (!may_say_aborted(id, deadline, leader))
+      return later(res, "the leader has not heard of the cancellation");
     return reply(res, 200, {{"id", id}, {"standing", "aborted"}});
   }
 }
@@ -317,12 +381,17 @@
     lock.unlock();
     return reply(res, 503, {{"error", "cut off"}});
   }
+  if (leads() && !knows_cancellations(now)) {
+    lock.unlock();
+    return reply(res, 503, {{"error", "jobs may have been cancelled unheard"}});
+  }
   // A leader that slept does not know yet whether it still is one: the worker goes on to another.
   if (leads() && !sure(now)) {
     lock.unlock();
     return reply(res, 503, {{"error", "not sure to lead"}});
   }
   if (leads() && core_ && !core_->lost()) {
+    core_->allow_starts(role_ == Role::leading || now - horizon_.at() < kFreshHorizon);
     const ReportReply out = core_->on_report(*r, now);
     if (out.verdict != ReportReply::Verdict::deposed) {
       const json answer = wire::report_answer(token_, out.orders);
@@ -354,6 +423,11 @@
 }
 
 void Node::serve_mesh(const httplib::Request& req, httplib::Response& res) {
+  if (req.target == mesh::kCancelled && req.method == "POST") {
+    const auto c = mesh::decode_cancelled(req.body);
+    res.set_content(json{{"token", c ? take_cancelled(*c) : 0}}.dump(), "application/json");
+    return;
+  }
   if (req.target != mesh::kView || req.method != "POST") {
     res.status = 404;
     return;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -198,7 +198,7 @@
     Job& job = add_job(row, id, now);
     live += job.attempts.size();
     if (row.row.standing == ledger::Standing::aborted) {
-      abort_job(job, row.stamp, now);
+      abort_job(job, row, now);
     } else if (job.gang() && !job.attempts.empty() && !job.waiting.empty()) {
       // A gang whose start was committed in part, or that lost a task: it starts anew as a whole.
       for (auto& [t, a] : job.attempts) stop_attempt(job, a, 0);
@@ -225,18 +225,20 @@
   if (row.stamp <= job.stamp) return;
   job.stale_since = -1;
   if (row.row.standing == ledger::Standing::aborted) {
-    abort_job(job, row.stamp, now);
+    abort_job(job, row, now);
   } else if (row.row.standing == ledger::Standing::done && job.state != JobState::done) {
     // Only a leader writes this, and a flight of ours is still open: its result will say so.
     if (job.state != JobState::closing) fail("job " + id + " was closed by somebody else");
   }
 }
 
-void Core::abort_job(Job& job, uint64_t stamp, double now) {
+void Core::abort_job(Job& job, const MirrorJob& row, double now) {
   if (job.over()) return;
   if (!set_state(job, JobState::aborted)) return;
-  job.stamp = stamp;
+  job.stamp = row.stamp;
+  // Not since we heard of it: cancel_s does not begin anew with each leader.
   job.aborted_at = now;
+  if (day_offset_ && row.row.at_s > 0) job.aborted_at = std::min(now, row.row.at_s - *day_offset_);
   job.stale_since = -1;
   job.waiting.clear();
   closing_.erase(job.id);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -213,6 +213,12 @@
 
   // One round of decisions.
   void round(double now);
+  // What a leader in doubt may still decide: machines that keep cancelled work go. It starts
+  // nothing.
+  void watch_cancelled(double now);
+  // Whether reports may be answered with starts: not by a leader that may not have heard of the
+  // latest cancellations.
+  void allow_starts(bool allowed) { may_start_ = allowed; }
 
   // Transactions: at most one in flight per chunk.
   // `room`: so many changes may be made at once; a single row always may.
@@ -223,7 +229,8 @@
   std::optional<Hire> next_hire(double now);
   void on_hire(const Hire& hire, CloudOutcome outcome, const std::vector<std::string>& machines,
                double now);
-  std::vector<std::string> next_return(double now);
+  // `cancelled_only`: those that hold work of cancelled jobs.
+  std::vector<std::string> next_return(double now, bool cancelled_only = false);
   void on_return(const std::vector<std::string>& names, CloudOutcome outcome, double now);
   // A list read from the cloud, asked for at `asked`.
   void on_machine_list(const std::vector<ListedMachine>& list, double asked, double now);
@@ -260,7 +267,7 @@
   Job* find(Index job) { return job < jobs_.size() ? jobs_[job].get() : nullptr; }
   const Job* find(Index job) const { return job < jobs_.size() ? jobs_[job].get() : nullptr; }
   Job& add_job(const MirrorJob& row, const std::string& id, double now);
-  void abort_job(Job& job, uint64_t stamp, double now);
+  void abort_job(Job& job, const MirrorJob& row, double now);
   void drop_if_over(Index id);
   void erase_job(Job& job);
   Machine& machine(const std::string& name, double now);
@@ -356,9 +363,10 @@
   Index home(const Job& job) const;
   double silence_limit() const;
   double patience() const;
-  double waits_for(const Machine& m, double now) const;
+  double waits_for(const Machine& m) const;
   bool many_silent(double now) const;
-  bool holds_cancelled(const Machine& m, double now, double longer_than = -1) const;
+  bool holds_cancelled(const Machine& m) const;
+  bool holds_overdue(const Machine& m, double now) const;
   void drop_machine(Machine& m, double now, const char* why);
   std::optional<PendingTransaction> fleet_transaction(double now);
   size_t fleet_per_row() const;
@@ -372,6 +380,7 @@
   double introduce_at_ = 0;
   bool lost_ = false;
   bool eager_ = false;
+  bool may_start_ = true;
   bool many_silent_ = false;
   double many_silent_until_ = -1;
   std::optional<double> day_offset_;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -68,17 +68,37 @@
 }
 
 // A cancelled job's tasks must be gone in cancel_s: their machine is not waited for.
-// `longer_than`: only what was cancelled more than so many seconds ago.
-bool Core::holds_cancelled(const Machine& m, double now, double longer_than) const {
+bool Core::holds_cancelled(const Machine& m) const {
+  return std::any_of(m.tasks.begin(), m.tasks.end(),
+                     [&](const auto& t) { return jobs_[t.first]->state == JobState::aborted; });
+}
+
+// Whether tasks that were cancelled a good while ago may still be there. A machine that has not
+// come to a new leader yet is given time to: what the ledger says of it may be long past.
+bool Core::holds_overdue(const Machine& m, double now) const {
+  const bool unheard_long = now - started_ > kTakeoverGrace;
   return std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) {
     const Job& job = *jobs_[t.first];
-    return job.state == JobState::aborted && now - job.aborted_at > longer_than;
+    if (job.state != JobState::aborted) return false;
+    const double age = now - job.aborted_at;
+    return age > kCancelPatience * settings_.cancel_s &&
+           (m.heard || (unheard_long && age < 2 * settings_.cancel_s));
   });
 }
 
+void Core::watch_cancelled(double now) {
+  for (const auto& m : machines_) {
+    if (m->state == MachineState::condemned || m->state == MachineState::gone) continue;
+    if (holds_overdue(*m, now))
+      condemn(*m, "holds tasks of a cancelled job");
+    else if (m->unreachable() && holds_cancelled(*m))
+      condemn(*m, "holds tasks of a cancelled job and takes up nothing");
+  }
+}
+
 // How long this machine may be silent until it is given up.
-double Core::waits_for(const Machine& m, double now) const {
-  return many_silent_ && !holds_cancelled(m, now) ? patience() : silence_limit();
+double Core::waits_for(const Machine& m) const {
+  return many_silent_ && !holds_cancelled(m) ? patience() : silence_limit();
 }
 
 // The type whose machines a job's demand is counted for: the cheapest share of a machine.
@@ -304,11 +324,11 @@
       m.unheeded_since = now;
     if (m.state != MachineState::condemned && m.state != MachineState::gone) {
       if (m.unheeded_since >= 0 && !ours &&
-          (now - m.unheeded_since > kUnheededFor || holds_cancelled(m, now))) {
+          (now - m.unheeded_since > kUnheededFor || holds_cancelled(m))) {
         condemn(m, "takes up nothing of what it is answered");
         continue;
       }
-      if (holds_cancelled(m, now, kCancelPatience * settings_.cancel_s)) {
+      if (holds_overdue(m, now)) {
         condemn(m, "holds tasks of a cancelled job");
         continue;
       }
@@ -320,7 +340,7 @@
           condemn(m, "takes up none of our answers");
         } else if (m.was_up) {
           // The ledger has tasks on it, so it was up under a predecessor.
-          if (silent > std::max(waits_for(m, now), quiet + kTakeoverGrace))
+          if (silent > std::max(waits_for(m), quiet + kTakeoverGrace))
             condemn(m, "not heard since the takeover");
         } else if (m.unlisted_at >= 0 && now - m.hired_at > 2 * settings_.list_lag_s + 5) {
           condemn(m, "rented under a predecessor and not listed");
@@ -333,7 +353,7 @@
       case MachineState::draining:
         if (m.recall_at >= 0 && now > m.recall_at + 1 && silent > 1.5 * settings_.report_s) {
           condemn(m, "taken back");
-        } else if (silent > waits_for(m, now)) {
+        } else if (silent > waits_for(m)) {
           // Silence proves nothing; the cloud's answer to returning it does (invariant 3).
           condemn(m, "silent");
         } else if (m.unlisted_at >= 0 && silent > 2 * settings_.report_s) {
@@ -400,11 +420,12 @@
   }
 }
 
-std::vector<std::string> Core::next_return(double now) {
+std::vector<std::string> Core::next_return(double now, bool cancelled_only) {
   std::vector<std::string> out;
   if (lost_) return out;
   for (const auto& m : machines_) {
     if (m->state != MachineState::condemned || m->returning || now < m->return_after) continue;
+    if (cancelled_only && !holds_cancelled(*m)) continue;
     m->returning = true;
     out.push_back(m->name);
     if (out.size() == 100) break;
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -146,6 +146,7 @@
     if (row.spec) out["spec"] = encode_spec(*row.spec);
   } else {
     out["per"] = row.per;  // the chunks are still to be cleared away
+    if (row.at_s > 0) out["at"] = row.at_s;
   }
   return out;
 }
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -2,6 +2,7 @@
 // What must be durable, and in which rows of the state service it lies.
 //
 //   rd/leader        who leads; hangs on the leader's lease, its stamp is the token
+//   rd/read_to       the revision up to which the leader has read, where siblings cannot be told
 //   rd/types         machine sizes, so that every node decides 422 alike
 //   rd/j/<job>       a job: its description while open, its final state for ever
 //   rd/t/<n>         a page: chunks of several jobs' tasks. A chunk is the tasks [k*per, (k+1)*per)
@@ -28,6 +29,7 @@
 inline constexpr const char* kPrefix = "rd/";
 inline constexpr const char* kLeaderKey = "rd/leader";
 inline constexpr const char* kTypesKey = "rd/types";
+inline constexpr const char* kReadToKey = "rd/read_to";
 inline constexpr const char* kJobPrefix = "rd/j/";
 inline constexpr const char* kTaskPrefix = "rd/t/";
 inline constexpr const char* kFleetPrefix = "rd/f/";
@@ -81,7 +83,7 @@
   Standing standing = Standing::open;
   uint32_t tasks = 0;
   uint32_t per = 0;             // tasks per chunk
-  double at_s = 0;              // time of day of its acceptance, for order only
+  double at_s = 0;              // time of day: accepted; of a cancelled job, cancelled
   std::optional<JobSpec> spec;  // dropped at the end
   std::string mark;
 };
--- a/src/core/mirror.cpp
+++ b/src/core/mirror.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 
@@ -44,6 +45,8 @@
     }
     job.stamp = stamp;
     job.row = std::move(*row);
+    if (job.row.standing == ledger::Standing::aborted)
+      last_cancelled_ = std::max(last_cancelled_, stamp);
   } else if (starts_with(key, ledger::kTaskPrefix)) {
     const std::string_view number =
         std::string_view(key).substr(std::string_view(ledger::kTaskPrefix).size());
@@ -54,6 +57,8 @@
     if (stamp <= leader_stamp_) return;
     leader_stamp_ = stamp;
     leader_ = value.is_object() ? value.value("label", "") : "";
+  } else if (key == ledger::kReadToKey) {
+    if (value.is_number_unsigned()) read_to_ = std::max(read_to_, value.get<uint64_t>());
   } else if (key == ledger::kTypesKey) {
     if (stamp <= types_stamp_) return;
     types_stamp_ = stamp;
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -52,6 +52,8 @@
 
   const std::string& leader() const { return leader_; }  // label, empty: none
   uint64_t leader_stamp() const { return leader_stamp_; }
+  uint64_t read_to() const { return read_to_; }                // by a leader, as it wrote
+  uint64_t last_cancelled() const { return last_cancelled_; }  // highest stamp of such a row
   const std::vector<TypeInfo>& types() const { return types_; }
   uint64_t types_stamp() const { return types_stamp_; }
   const std::map<std::string, std::pair<uint64_t, nlohmann::json>>& fleet() const { return fleet_; }
@@ -64,6 +66,7 @@
   std::map<uint32_t, MirrorPage> pages_;
   std::string leader_;
   uint64_t leader_stamp_ = 0;
+  uint64_t read_to_ = 0, last_cancelled_ = 0;
   std::vector<TypeInfo> types_;
   uint64_t types_stamp_ = 0;
   std::map<std::string, std::pair<uint64_t, nlohmann::json>> fleet_;
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -288,9 +288,10 @@
   }
 }
 
-// Whether its start may be ordered: durable, wanted, and for a gang all of it durable.
+// Whether its start may be ordered: durable, wanted as far as we can know, and for a gang all of it
+// durable.
 bool Core::may_order(const Job& job, const Attempt& a) const {
-  if (a.state != AttemptState::placed || a.stop || job.over()) return false;
+  if (a.state != AttemptState::placed || a.stop || job.over() || !may_start_) return false;
   return !job.gang() || job.proposed == 0;
 }
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -25,7 +25,9 @@
 constexpr size_t kApiThreads = 160;  // requests served at once; users' wait for the state service
 constexpr size_t kMeshThreads = 8;
 constexpr int kDirectThreads = 3;
-constexpr double kEagerGap = 0.06;  // rounds follow events no closer than this
+constexpr double kPublishEvery = 0.6;
+constexpr size_t kTellAtOnce = 256;  // cancellations in a message to the leader
+constexpr double kEagerGap = 0.06;   // rounds follow events no closer than this
 constexpr int kReloadRows = 500;
 // After this long without an answer the ledger is asked how far it has gone on; beyond so many
 // changes it is read anew.
@@ -85,6 +87,9 @@
   }
   if (!api_->start() || !mesh_->start()) return false;
   vigil_ = Vigil(steady_now());
+  std::vector<std::string> siblings;
+  for (const Sibling& s : config_.siblings) siblings.push_back(s.label);
+  horizon_ = CancellationHorizon(std::move(siblings));
   threads_.emplace_back([this] { pulse_loop(); });
   threads_.emplace_back([this] { watch_loop(); });
   threads_.emplace_back([this] { lead_loop(); });
@@ -92,6 +97,7 @@
   threads_.emplace_back([this] { commit_loop(); });
   threads_.emplace_back([this] { cloud_loop(); });
   threads_.emplace_back([this] { mesh_loop(); });
+  threads_.emplace_back([this] { tell_loop(); });
   for (int i = 0; i < kDirectThreads; ++i) threads_.emplace_back([this] { direct_loop(); });
   return true;
 }
@@ -106,6 +112,8 @@
     engine_cv_.notify_all();
     lead_cv_.notify_all();
     mesh_cv_.notify_all();
+    tell_cv_.notify_all();
+    told_cv_.notify_all();
   }
   {
     std::lock_guard lock(barrier_mutex_);
@@ -226,6 +234,7 @@
     if (reachable && !loaded) reachable = loaded = reload(client);
     // The watch catches up with what changed between the pages of a reload.
     state::Client::Watch w;
+    const double sent = steady_now();
     if (reachable) w = client.watch(ledger::kPrefix, revision_, 0);
     if (w.kind == state::Client::Watch::Kind::too_old) {
       spdlog::warn("ledger: watch from revision {} is too old, reading anew", revision_);
@@ -246,8 +255,13 @@
         highest_leader_ = mirror_.leader();
       }
       if (core_ && core_->eager()) engine_cv_.notify_one();
+      horizon_.proven(sent);
       if (leads() && mirror_.leader_stamp() > token_)
         step_down(Role::follower, "the leader key is not ours");
+      if (leads()) known_cancellations_.read_to(revision_);
+      known_cancellations_.read_to(mirror_.read_to());
+      told_cv_.notify_all();
+      if (must_publish()) tell_cv_.notify_one();
       if (!leads() && mirror_.leader().empty()) lead_cv_.notify_all();
     }
     std::unique_lock lock(barrier_mutex_);
@@ -394,6 +408,8 @@
 
 bool Node::acts(double now) { return role_ == Role::leading && core_ && sure(now); }
 
+bool Node::doubts(double now) { return role_ == Role::doubtful && core_ && sure(now); }
+
 bool Node::still_sure(uint64_t token) {
   std::lock_guard lock(mutex_);
   return token_ == token && sure(steady_now());
@@ -440,6 +456,7 @@
         if (leads()) {
           if (kept == state::Client::Renewal::kept) {
             vigil_.kept(sent);
+            horizon_.proven(sent);
             if (role_ == Role::doubtful) set_role(Role::leading, "the lease is renewed");
           } else if (kept == state::Client::Renewal::ended) {
             step_down(Role::follower, "the lease ended");
@@ -546,6 +563,9 @@
       }
     } else if (role_ == Role::doubtful && core_ && core_->lost()) {
       step_down(Role::follower, "the core lost its claim");
+    } else if (doubts(steady_now())) {
+      core_->watch_cancelled(steady_now());
+      cloud_cv_.notify_all();
     }
     nap(lock, engine_cv_, interval);
   }
@@ -663,11 +683,12 @@
       }
       continue;
     }
-    if (!lead) {
+    const bool doubtful = !lead && doubts(now);
+    if (!lead && !doubtful) {
       nap(lock, cloud_cv_, 0.7);
       continue;
     }
-    if (auto names = core_->next_return(now); !names.empty()) {
+    if (auto names = core_->next_return(now, doubtful); !names.empty()) {
       lock.unlock();
       const CloudOutcome o = client.give_back(names, may_send);
       lock.lock();
@@ -675,6 +696,10 @@
       commit_cv_.notify_all();
       continue;
     }
+    if (doubtful) {
+      nap(lock, cloud_cv_, 0.7);
+      continue;
+    }
     if (auto h = core_->next_hire(now)) {
       lock.unlock();
       const auto got = client.hire(*h, may_send);
@@ -697,13 +722,19 @@
 
 // ---------------------------------------------------------------- siblings
 
+uint64_t Node::known_token() const {
+  return std::max({highest_token_, token_, mirror_.leader().empty() ? 0 : mirror_.leader_stamp()});
+}
+
 mesh::View Node::view() const {
   std::lock_guard lock(mutex_);
   mesh::View v;
   v.label = config_.core.label;
+  v.incarnation = incarnation_;
+  v.read_to = known_cancellations_.read_to();
   v.state_ok = steady_now() - state_ok_at_ < kStateFresh;
   v.writes = need_;
-  v.token = highest_token_;
+  v.token = known_token();
   v.leader = highest_leader_;
   return v;
 }
@@ -717,6 +748,9 @@
     image_hints_token_ = v.token;
   }
   needs_[v.label] = {std::clamp(v.writes, 0.0, 1e6), steady_now()};
+  // Together with the token below: who relies on a leader's word knows of that leader.
+  known_cancellations_.read_to(v.read_to);
+  told_cv_.notify_all();
   if (v.token <= highest_token_) return;
   highest_token_ = v.token;
   highest_leader_ = v.leader;
@@ -750,11 +784,108 @@
       if (stop_) return;
       mesh::View ours = view();
       ours.images = images;
-      if (auto v = p->exchange(ours)) hear(*v);
+      const double sent = steady_now();
+      if (auto v = p->exchange(ours)) {
+        hear(*v);
+        std::lock_guard lock(mutex_);
+        horizon_.vouched(p->label(), v->incarnation, v->token, token_, sent, steady_now());
+      }
     }
     std::unique_lock lock(mutex_);
     nap(lock, mesh_cv_, 1.0);
   }
 }
 
+// ---------------------------------------------------------------- cancellations
+
+// A leader that has no proof of having heard all cancellations lets its workers go before any lease
+// that it renewed could outlast cancel_s (core/cancellations.h).
+bool Node::knows_cancellations(double now) {
+  return now - horizon_.at() <= horizon_limit(config_.core.cancel_s, config_.core.lease_s);
+}
+
+// Whether a sibling that cannot be told may wait to hear how far we have read.
+bool Node::must_publish() const {
+  if (role_ != Role::leading || mirror_.last_cancelled() <= mirror_.read_to()) return false;
+  const double now = steady_now();
+  if (now - published_at_ < kPublishEvery) return false;
+  size_t fresh = 0;
+  for (const Sibling& s : config_.siblings) {
+    auto it = needs_.find(s.label);
+    fresh += it != needs_.end() && now - it->second.at < kNeedFresh / 2;
+  }
+  return static_cast<int>(fresh) < config_.nodes - 1;
+}
+
+// Through the ledger, where siblings cannot be told.
+void Node::publish_read_to(std::unique_lock<std::mutex>& lock, state::Client& client) {
+  published_at_ = steady_now();
+  ledger::Transaction t;
+  t.mark = new_mark();
+  t.conditions = {{ledger::kLeaderKey, token_}};
+  t.changes = {{ledger::kReadToKey, false, known_cancellations_.read_to(), 0}};
+  lock.unlock();
+  client.commit(t, 0.5);  // refused, or without an answer: the next one tells more
+  lock.lock();
+}
+
+void Node::tell_loop() {
+  state::Client state(config_.state, state_budgets_, 0.8);
+  std::map<std::string, std::unique_ptr<mesh::Peer>> peers;
+  for (const Sibling& s : config_.siblings) peers[s.label] = std::make_unique<mesh::Peer>(s);
+  std::unique_lock lock(mutex_);
+  while (!stop_) {
+    if (must_publish() && acts(steady_now())) publish_read_to(lock, state);
+    mesh::Cancelled c;
+    const std::string leader = mirror_.leader();
+    auto peer = peers.find(leader);
+    if (!leader.empty()) c.token = mirror_.leader_stamp();
+    for (auto& [id, t] : tellings_) {
+      if (t.tried || c.rows.size() >= kTellAtOnce) continue;
+      const MirrorJob* j = mirror_.job(id);
+      // Whom to ask follows from a ledger that has the row: an older one may name a leader that
+      // was over when it was written.
+      const bool placed = t.leader > 0 ? t.leader <= c.token : j && revision_ >= j->stamp;
+      if (!j || !placed || peer == peers.end()) {
+        t.tried = true;
+        continue;
+      }
+      c.rows.push_back({id, ledger::encode(j->row), j->stamp});
+    }
+    if (c.rows.empty()) {
+      told_cv_.notify_all();
+      nap(lock, tell_cv_, kPublishEvery);
+      continue;
+    }
+    lock.unlock();
+    const auto token = peer->second->tell(c);
+    lock.lock();
+    // An older leader's word counts for nothing; a newer one has loaded what was written before.
+    const bool acknowledged = token && *token >= c.token;
+    if (acknowledged)
+      highest_token_ = std::max(highest_token_, *token);
+    else
+      spdlog::info("cancellations of {} jobs: {} has not taken them up", c.rows.size(), leader);
+    for (const mesh::Cancelled::Row& r : c.rows) {
+      if (acknowledged) known_cancellations_.acknowledge(r.job, r.stamp);
+      if (auto t = tellings_.find(r.job); t != tellings_.end()) t->second.tried = true;
+    }
+    told_cv_.notify_all();
+  }
+}
+
+// Rows of cancelled jobs as a sibling tells them. Answers with the token under which their tasks
+// will be stopped, 0 if that cannot be promised.
+uint64_t Node::take_cancelled(const mesh::Cancelled& c) {
+  std::lock_guard lock(mutex_);
+  if (leads() && c.token > token_) step_down(Role::follower, "a sibling knows a newer leader");
+  if (!leads() || !core_ || core_->lost() || !sure(steady_now())) return 0;
+  for (const mesh::Cancelled::Row& r : c.rows) {
+    const auto row = ledger::decode_job(r.job, r.value);
+    if (!row || row->standing != ledger::Standing::aborted) return 0;
+    apply({ledger::job_key(r.job), r.value, r.stamp, false});
+  }
+  return token_;
+}
+
 }  // namespace rookdyke
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -8,6 +8,7 @@
 //   direct    orders that do not wait for a worker's next report
 //   cloud     hires, returns, lists, machine types
 //   mesh      exchanges views with siblings
+//   teller    tells the leader of cancellations before their users hear of them
 //   pulse     notices that the process stood still
 //   api       a thread per connection of users, workers, health checks
 //
@@ -26,6 +27,7 @@
 
 #include "cloud/client.h"
 #include "config/config.h"
+#include "core/cancellations.h"
 #include "core/core.h"
 #include "core/mirror.h"
 #include "core/vigil.h"
@@ -60,7 +62,11 @@
   void report(const httplib::Request& req, httplib::Response& res);
   void health(httplib::Response& res);
   void later(httplib::Response& res, const char* why);
+  void answer_job(const std::string& id, const JobAnswer& a, bool counts, double deadline,
+                  httplib::Response& res);
+  bool may_say_aborted(const std::string& id, double deadline, uint64_t leader = 0);
   void serve_mesh(const httplib::Request& req, httplib::Response& res);
+  uint64_t take_cancelled(const mesh::Cancelled& c);
   std::optional<ledger::Result> settle(const ledger::Transaction& t, double deadline);
 
   // -- node.cpp
@@ -78,6 +84,9 @@
   void cloud_loop();
   void direct_loop();
   void mesh_loop();
+  void tell_loop();
+  bool must_publish() const;  // under mutex_
+  void publish_read_to(std::unique_lock<std::mutex>& lock, state::Client& client);
   void hear(const mesh::View& v);
   void check_limits(size_t machines);  // under mutex_
   void share_writes();                 // under mutex_
@@ -87,18 +96,22 @@
   bool state_down() const { return watch_failures_ >= 2; }
   mesh::View view() const;
   bool leads() const { return role_ == Role::leading || role_ == Role::doubtful; }
+  uint64_t known_token() const;          // under mutex_: the highest known of
+  bool knows_cancellations(double now);  // under mutex_: may keep workers' leases alive
   // -- standing still: a process may stop in any line while its clocks run on. Nothing that was
   // read, decided or queued before counts until the lease has been asked for again.
   void pulse_loop();
   void feel(double now);            // under mutex_: finds out that this process stood still
   bool sure(double now);            // under mutex_: the lease was looked at since
   bool acts(double now);            // under mutex_: leads without doubt, and may decide
+  bool doubts(double now);          // under mutex_: may still have cancelled work stopped
   bool still_sure(uint64_t token);  // takes mutex_: right before something is sent
   void nap(std::unique_lock<std::mutex>& lock, std::condition_variable& cv, double s);
 
   Config config_;
   mutable std::mutex mutex_;
   std::condition_variable commit_cv_, cloud_cv_, direct_cv_, engine_cv_, lead_cv_, mesh_cv_;
+  std::condition_variable tell_cv_, told_cv_;
   std::atomic<bool> stop_{false};
 
   Mirror mirror_;
@@ -112,6 +125,17 @@
   uint64_t highest_token_ = 0;   // heard of from anybody
   std::string highest_leader_;
 
+  // -- cancellations (core/cancellations.h)
+  KnownCancellations known_cancellations_;
+  CancellationHorizon horizon_;
+  struct Telling {        // a cancelled job that its leader has to be told of
+    uint64_t leader = 0;  // held the key when it was written; 0: see the mirror
+    bool tried = false;   // by a message; the ledger may still bring word of the leader
+    int waiting = 0;
+  };
+  std::map<std::string, Telling> tellings_;
+  double published_at_ = -1e9;
+
   // Read barriers.
   std::mutex barrier_mutex_;
   std::condition_variable barrier_cv_, watch_cv_;
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -16,19 +16,36 @@
 namespace rookdyke::mesh {
 
 inline constexpr const char* kView = "/mesh/v1/view";
+inline constexpr const char* kCancelled = "/mesh/v1/cancelled";
 
 struct View {
   std::string label;
-  std::string leader;     // empty: none known
-  uint64_t token = 0;     // the leader's
-  bool state_ok = false;  // the state service answered lately
-  double writes = 0;      // changes a second it has use for
-  nlohmann::json images;  // from the leader, now and then: which machines hold which images
+  std::string incarnation;  // names the process, not the node
+  std::string leader;       // empty: none known
+  uint64_t token = 0;       // the highest known of
+  uint64_t read_to = 0;     // a leader has read the ledger up to here
+  bool state_ok = false;    // the state service answered lately
+  double writes = 0;        // changes a second it has use for
+  nlohmann::json images;    // from the leader, now and then: which machines hold which images
 };
 
 nlohmann::json encode(const View& v);
 std::optional<View> decode(const std::string& text);
 
+// To the holder of the leader key: rows of cancelled jobs, durable already. `token` is the leader's
+// as the sender knows it.
+struct Cancelled {
+  struct Row {
+    std::string job;
+    nlohmann::json value;
+    uint64_t stamp = 0;
+  };
+  uint64_t token = 0;
+  std::vector<Row> rows;
+};
+nlohmann::json encode(const Cancelled& c);
+std::optional<Cancelled> decode_cancelled(const std::string& text);
+
 // One sibling; for one thread.
 class Peer {
  public:
@@ -36,6 +53,8 @@
   const std::string& label() const { return label_; }
   // Tells our view and hears theirs.
   std::optional<View> exchange(const View& ours);
+  // The token that it holds, having taken the rows up; 0: it holds none. Empty: no answer.
+  std::optional<uint64_t> tell(const Cancelled& c);
 
  private:
   std::string label_;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include "core/cancellations.h"
 #include "core/forecast.h"
 #include "core/ledger.h"
 #include "core/mirror.h"
@@ -410,5 +411,68 @@
   EXPECT_TRUE(v.runs(132, 2.5));
 }
 
+// A user hears of a cancellation only once a leader is known to know it.
+TEST(KnownCancellations, OnlyWhatALeaderReadOrAcknowledged) {
+  KnownCancellations known;
+  EXPECT_FALSE(known.has("wk-000001", 12));
+  known.read_to(11);
+  EXPECT_FALSE(known.has("wk-000001", 12));
+  known.acknowledge("wk-000001", 12);
+  EXPECT_TRUE(known.has("wk-000001", 12));
+  EXPECT_FALSE(known.has("wk-000002", 12));
+  EXPECT_FALSE(known.has("wk-000001", 13));  // another row than the one that was acknowledged
+  known.read_to(20);
+  EXPECT_TRUE(known.has("wk-000002", 20));
+  EXPECT_FALSE(known.has("wk-000002", 21));
+  known.read_to(5);  // told late
+  EXPECT_TRUE(known.has("wk-000002", 20));
+}
+
+TEST(CancellationHorizon, AllSiblingsTogetherProveAsTheLedgerDoes) {
+  CancellationHorizon h({"n1", "n2"});
+  constexpr uint64_t ours = 7;
+  const auto vouch = [&](const char* who, const char* process, uint64_t token, double sent) {
+    h.vouched(who, process, token, ours, sent, sent + 0.1);
+  };
+  vouch("n1", "a", 7, 8);
+  vouch("n2", "b", 7, 8);
+  h.proven(10);
+  EXPECT_EQ(h.at(), 10);
+  vouch("n1", "a", 7, 20);
+  EXPECT_EQ(h.at(), 10);  // the other may have told a user meanwhile
+  vouch("n2", "b", 3, 21);
+  EXPECT_EQ(h.at(), 20);  // an older token than ours is no harm
+  vouch("n1", "a", 8, 30);
+  vouch("n2", "b", 7, 30);
+  EXPECT_EQ(h.at(), 20);  // one knows of a newer leader
+}
+
+TEST(CancellationHorizon, ARestartedSiblingProvesNothingOfItsPredecessor) {
+  CancellationHorizon h({"n1", "n2"});
+  constexpr uint64_t ours = 7;
+  h.vouched("n1", "a", 7, ours, 8, 8.1);
+  h.vouched("n2", "b", 7, ours, 8, 8.1);
+  h.proven(10);
+  h.vouched("n1", "a", 7, ours, 12, 12.1);
+  h.vouched("n2", "b2", 7, ours, 12, 12.1);  // what b told after 8 nobody knows
+  EXPECT_EQ(h.at(), 10);
+  h.vouched("n1", "a", 7, ours, 20, 20.1);
+  h.vouched("n2", "b2", 7, ours, 20, 20.1);
+  EXPECT_EQ(h.at(), 10);
+  h.proven(25);  // the ledger answered: all before that is known
+  h.vouched("n1", "a", 7, ours, 30, 30.1);
+  h.vouched("n2", "b2", 7, ours, 31, 31.1);
+  EXPECT_EQ(h.at(), 30);
+  h.vouched("n1", "", 7, ours, 40, 40.1);  // names no process
+  h.vouched("n2", "b2", 7, ours, 40, 40.1);
+  EXPECT_EQ(h.at(), 30);
+}
+
+TEST(CancellationHorizon, LeasesEndWithinTheTimeToCancel) {
+  for (const auto& [cancel, lease] : {std::pair{38.0, 18.0}, {46.5, 26.5}, {59.0, 29.0}})
+    EXPECT_LT(horizon_limit(cancel, lease) + lease * 1.0005, cancel * 0.9995);
+  EXPECT_GT(horizon_limit(20, 20), 0);
+}
+
 }  // namespace
 }  // namespace rookdyke
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -64,6 +64,10 @@
       store_.commit(t);
     }
   }
+  const test::Store::Entry* row(const std::string& key) {
+    std::lock_guard lock(mutex_);
+    return store_.get(key);
+  }
   size_t longest_watch() {
     std::lock_guard lock(mutex_);
     return longest_;
@@ -303,13 +307,48 @@
   return false;
 }
 
-class Loopback : public testing::Test {
+int free_port() {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof at;
+  EXPECT_EQ(::bind(fd, reinterpret_cast<sockaddr*>(&at), size), 0);
+  EXPECT_EQ(::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size), 0);
+  ::close(fd);
+  return ntohs(at.sin_port);
+}
+
+// Two nodes that know each other as siblings, or do not.
+class Pair : public testing::Test {
  protected:
-  Loopback()
-      : a(config("n-a", state.port(), cloud.port())), b(config("n-b", state.port(), cloud.port())) {
-    EXPECT_TRUE(a.start());
-    EXPECT_TRUE(b.start());
-    cloud.use({{"n-a", a.port()}, {"n-b", b.port()}});
+  explicit Pair(bool siblings) {
+    // A port that was free may be taken by now: then others are tried.
+    for (int i = 0; i < 20 && (!a_ || !b_); ++i) {
+      Config first = config("n-a", state.port(), cloud.port());
+      Config second = config("n-b", state.port(), cloud.port());
+      if (siblings) {
+        first.mesh.port = free_port();
+        second.mesh.port = free_port();
+        first.siblings = {{"n-b", second.mesh}};
+        second.siblings = {{"n-a", first.mesh}};
+      }
+      a_ = started(first);
+      b_ = a_ ? started(second) : nullptr;
+    }
+    if (!a_ || !b_) throw std::runtime_error("no ports");
+    cloud.use({{"n-a", a().port()}, {"n-b", b().port()}});
+  }
+  static std::unique_ptr<Node> started(const Config& c) {
+    auto n = std::make_unique<Node>(c);
+    return n->start() ? std::move(n) : nullptr;
+  }
+  Node& a() { return *a_; }
+  Node& b() { return *b_; }
+  Node& leader() { return a().role() == Role::leading ? a() : b(); }
+  Node& follower() { return a().role() == Role::leading ? b() : a(); }
+  bool somebody_leads() {
+    return until([&] { return a().role() == Role::leading || b().role() == Role::leading; });
   }
   std::pair<int, json> ask(Node& n, const std::string& path, const std::string* body = nullptr) {
     httplib::Client c("127.0.0.1", n.port());
@@ -330,72 +369,103 @@
 
   StateService state;
   CloudAndWorkers cloud;
-  Node a, b;
+
+ private:
+  std::unique_ptr<Node> a_, b_;
+};
+
+class Loopback : public Pair {
+ protected:
+  Loopback() : Pair(true) {}
+};
+
+class LoopbackApart : public Pair {
+ protected:
+  LoopbackApart() : Pair(false) {}
 };
 
 TEST_F(Loopback, AJobRunsAndEveryNodeSaysSo) {
-  ASSERT_TRUE(until([&] { return a.role() == Role::leading || b.role() == Role::leading; }));
-  EXPECT_EQ(submit(a, job("wk-000001", 5)), 201);
-  EXPECT_EQ(submit(b, job("wk-000001", 5)), 200);
-  EXPECT_TRUE(until([&] { return standing(b, "wk-000001") == "done"; }));
-  EXPECT_EQ(standing(a, "wk-000001"), "done");
-  EXPECT_EQ(submit(a, job("wk-000001", 5)), 200);
-  EXPECT_EQ(standing(a, "wk-000077"), "404");
+  ASSERT_TRUE(somebody_leads());
+  EXPECT_EQ(submit(a(), job("wk-000001", 5)), 201);
+  EXPECT_EQ(submit(b(), job("wk-000001", 5)), 200);
+  EXPECT_TRUE(until([&] { return standing(b(), "wk-000001") == "done"; }));
+  EXPECT_EQ(standing(a(), "wk-000001"), "done");
+  EXPECT_EQ(submit(a(), job("wk-000001", 5)), 200);
+  EXPECT_EQ(standing(a(), "wk-000077"), "404");
   EXPECT_GE(cloud.hired(), 1u);
 }
 
 TEST_F(Loopback, WhatCannotBeTakenIsRefused) {
-  ASSERT_TRUE(until([&] { return a.role() == Role::leading || b.role() == Role::leading; }));
+  ASSERT_TRUE(somebody_leads());
   json j = job("wk-000002", 1);
   j["crew"] = "nobody";
-  EXPECT_EQ(submit(a, j), 422);
+  EXPECT_EQ(submit(a(), j), 422);
   j = job("wk-000002", 1);
   j["cpus"] = 3.0;  // over the team's limit
-  EXPECT_EQ(submit(b, j), 422);
+  EXPECT_EQ(submit(b(), j), 422);
   j = job("wk-000002", 1);
   j["mem_gb"] = 9.0;
-  EXPECT_EQ(submit(b, j), 422);
+  EXPECT_EQ(submit(b(), j), 422);
   j["shifts"] = 0;
-  EXPECT_EQ(submit(a, j), 400);
+  EXPECT_EQ(submit(a(), j), 400);
   const std::string noise(100, '\xff'), long_body(70000, 'x');
-  EXPECT_EQ(ask(a, "/v2/runs", &noise).first, 400);
-  EXPECT_EQ(ask(a, "/v2/runs", &long_body).first, 400);
-  EXPECT_EQ(ask(a, "/nowhere").first, 404);
-  EXPECT_EQ(ask(a, "/v2/runs/" + std::string(5000, '(')).first, 404);
-  EXPECT_EQ(ask(a, "/healthz").first, 200);
+  EXPECT_EQ(ask(a(), "/v2/runs", &noise).first, 400);
+  EXPECT_EQ(ask(a(), "/v2/runs", &long_body).first, 400);
+  EXPECT_EQ(ask(a(), "/nowhere").first, 404);
+  EXPECT_EQ(ask(a(), "/v2/runs/" + std::string(5000, '(')).first, 404);
+  EXPECT_EQ(ask(a(), "/healthz").first, 200);
 }
 
 TEST_F(Loopback, ACancelledJobStaysCancelled) {
-  ASSERT_TRUE(until([&] { return a.role() == Role::leading || b.role() == Role::leading; }));
+  ASSERT_TRUE(somebody_leads());
   json j = job("wk-000003", 2000);  // far more than can be done before the abort
-  EXPECT_EQ(submit(a, j), 201);
+  EXPECT_EQ(submit(a(), j), 201);
   const std::string none;
-  const auto [status, body] = ask(b, "/v2/runs/wk-000003/abort", &none);
-  EXPECT_EQ(status, 200);
+  // Its user is told at the first try, also by a node that does not lead.
+  const auto [status, body] = ask(follower(), "/v2/runs/wk-000003/abort", &none);
+  ASSERT_EQ(status, 200);
   EXPECT_EQ(body.at("standing"), "aborted");
-  EXPECT_EQ(standing(a, "wk-000003"), "aborted");
-  EXPECT_EQ(submit(a, j), 200);
-  EXPECT_EQ(ask(a, "/v2/runs/wk-000088/abort", &none).first, 404);
+  EXPECT_EQ(standing(leader(), "wk-000003"), "aborted");
+  EXPECT_EQ(submit(a(), j), 200);
+  EXPECT_EQ(ask(a(), "/v2/runs/wk-000088/abort", &none).first, 404);
+}
+
+// The leader cannot be told of a cancellation: nobody says "aborted" before it is known to have
+// read so far; then everybody does.
+TEST_F(LoopbackApart, ACancellationIsToldOnceTheLeaderHasReadIt) {
+  ASSERT_TRUE(somebody_leads());
+  EXPECT_EQ(submit(a(), job("wk-000003", 2000)), 201);
+  const std::string none;
+  EXPECT_TRUE(until([&] {
+    const auto [status, body] = ask(follower(), "/v2/runs/wk-000003/abort", &none);
+    EXPECT_TRUE(status == 200 || status == 503) << status;
+    return status == 200 && body.at("standing") == "aborted";
+  }));
+  const auto* row = state.row(ledger::kReadToKey);
+  ASSERT_TRUE(row);
+  EXPECT_GE(row->value.get<uint64_t>(), state.row(ledger::job_key("wk-000003"))->stamp);
+  EXPECT_EQ(standing(a(), "wk-000003"), "aborted");
+  EXPECT_EQ(standing(b(), "wk-000003"), "aborted");
 }
 
 TEST_F(Loopback, DuringAnOutageNothingIsPromised) {
-  ASSERT_TRUE(until([&] { return a.role() == Role::leading || b.role() == Role::leading; }));
-  EXPECT_EQ(submit(a, job("wk-000004", 1)), 201);
+  ASSERT_TRUE(somebody_leads());
+  EXPECT_EQ(submit(a(), job("wk-000004", 1)), 201);
   state.set_outage(true);
   EXPECT_TRUE(until([&] {
     const std::string body = wire::pack(job("wk-000005", 1));
-    return ask(a, "/v2/runs", &body).first == 503;
+    return ask(a(), "/v2/runs", &body).first == 503;
   }));
-  EXPECT_EQ(standing(b, "wk-000099"), "503");  // not even that there is no such job
+  EXPECT_EQ(standing(b(), "wk-000099"), "503");  // not even that there is no such job
   state.set_outage(false);
-  EXPECT_TRUE(until([&] { return standing(b, "wk-000004") == "done"; }));
+  EXPECT_TRUE(until([&] { return standing(b(), "wk-000004") == "done"; }));
 }
 
 // What cannot be taken is answered at once, with Retry-After, and without asking a state service
 // that is known to refuse: nothing is held back until its user would give up.
 TEST_F(Loopback, WhatIsKnownToFailIsRefusedAtOnce) {
-  ASSERT_TRUE(until([&] { return a.role() == Role::leading || b.role() == Role::leading; }));
-  Node& follower = a.role() == Role::leading ? b : a;
+  ASSERT_TRUE(somebody_leads());
+  Node& follower = this->follower();
   EXPECT_EQ(submit(follower, job("wk-000011", 2000)), 201);
   state.set_outage(true);
   const auto refused = [&](const char* path, const std::string* body) {
@@ -420,17 +490,17 @@
 // A watch answers with all changes since, whatever their size: after a long cut they are more than
 // a node has memory for. It reads the rows as they are instead.
 TEST_F(Loopback, FarBehindTheLedgerIsReadAnew) {
-  ASSERT_TRUE(until([&] { return a.role() == Role::leading || b.role() == Role::leading; }));
-  EXPECT_EQ(submit(a, job("wk-000021", 3)), 201);
-  EXPECT_TRUE(until([&] { return standing(b, "wk-000021") == "done"; }));
+  ASSERT_TRUE(somebody_leads());
+  EXPECT_EQ(submit(a(), job("wk-000021", 3)), 201);
+  EXPECT_TRUE(until([&] { return standing(b(), "wk-000021") == "done"; }));
   state.set_outage(true);
   state.change_much(5000);
   std::this_thread::sleep_for(std::chrono::seconds(4));  // longer than a short trouble
   state.set_outage(false);
-  EXPECT_EQ(submit(a, job("wk-000022", 3)), 201);
-  EXPECT_TRUE(until([&] { return standing(b, "wk-000022") == "done"; }));
-  EXPECT_EQ(standing(b, "wk-000021"), "done");
-  EXPECT_EQ(standing(a, "wk-000023"), "404");
+  EXPECT_EQ(submit(a(), job("wk-000022", 3)), 201);
+  EXPECT_TRUE(until([&] { return standing(b(), "wk-000022") == "done"; }));
+  EXPECT_EQ(standing(b(), "wk-000021"), "done");
+  EXPECT_EQ(standing(a(), "wk-000023"), "404");
   EXPECT_LT(state.longest_watch(), 1000u);
 }
 
@@ -634,19 +704,32 @@
 
 TEST(Mesh, ViewsAreExchanged) {
   mesh::View heard;
-  net::Server server(
-      {"127.0.0.1", 0}, 4, 4, 65536, [&](const httplib::Request& q, httplib::Response& r) {
-        heard = mesh::decode(q.body).value_or(mesh::View{});
-        r.set_content(mesh::encode({"n1", "n2", 9, true, 2.5, {{"images", 1}}}).dump(),
-                      "application/json");
-      });
+  net::Server server({"127.0.0.1", 0}, 4, 4, 65536,
+                     [&](const httplib::Request& q, httplib::Response& r) {
+                       heard = mesh::decode(q.body).value_or(mesh::View{});
+                       mesh::View v;
+                       v.label = "n1";
+                       v.incarnation = "n1.7";
+                       v.leader = "n2";
+                       v.token = 9;
+                       v.read_to = 31;
+                       v.state_ok = true;
+                       v.writes = 2.5;
+                       v.images = {{"images", 1}};
+                       r.set_content(mesh::encode(v).dump(), "application/json");
+                     });
   ASSERT_TRUE(server.start());
   {
     mesh::Peer peer({"n1", {"127.0.0.1", server.port()}});
-    const auto v = peer.exchange({"n0", "n0", 4, false, 0, {}});
+    mesh::View ours;
+    ours.label = ours.leader = "n0";
+    ours.token = 4;
+    const auto v = peer.exchange(ours);
     ASSERT_TRUE(v);
     EXPECT_EQ(v->token, 9u);
     EXPECT_EQ(v->leader, "n2");
+    EXPECT_EQ(v->incarnation, "n1.7");
+    EXPECT_EQ(v->read_to, 31u);
     EXPECT_EQ(v->images.at("images"), 1);
   }
   server.halt();
@@ -654,5 +737,33 @@
   EXPECT_FALSE(mesh::decode("{}"));
 }
 
+TEST(Mesh, CancellationsAreToldAndAcknowledged) {
+  std::optional<mesh::Cancelled> heard;
+  std::string answer = R"({"token":9})";
+  net::Server server({"127.0.0.1", 0}, 4, 4, 65536,
+                     [&](const httplib::Request& q, httplib::Response& r) {
+                       heard = mesh::decode_cancelled(q.body);
+                       r.set_content(answer, "application/json");
+                     });
+  ASSERT_TRUE(server.start());
+  {
+    mesh::Peer peer({"n1", {"127.0.0.1", server.port()}});
+    EXPECT_EQ(peer.tell({7, {{"wk-000001", {{"standing", 2}}, 12}}}), 9u);
+    ASSERT_TRUE(heard);
+    EXPECT_EQ(heard->token, 7u);
+    ASSERT_EQ(heard->rows.size(), 1u);
+    EXPECT_EQ(heard->rows[0].job, "wk-000001");
+    EXPECT_EQ(heard->rows[0].stamp, 12u);
+    for (const char* bad : {"", "[]", "7", R"({"token":"9"})", R"({"token":-1})", "{}"}) {
+      answer = bad;
+      EXPECT_FALSE(peer.tell({7, {}})) << bad;
+    }
+  }
+  server.halt();
+  EXPECT_FALSE(mesh::decode_cancelled(R"({"token":1,"rows":[["wk-000001"]]})"));
+  EXPECT_FALSE(mesh::decode_cancelled(R"({"token":1,"rows":[[1,{},2]]})"));
+  EXPECT_FALSE(mesh::decode_cancelled(R"({"rows":[]})"));
+}
+
 }  // namespace
 }  // namespace rookdyke
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 constexpr double kLeaseTtl = 2.5;
+constexpr double kMaxDoubt = 60;
+constexpr double kFreshHorizon = 3;
 constexpr double kWire = 0.005;
 }  // namespace
 
@@ -441,6 +443,12 @@
   heard_sibling_ = w_.clock.now;
   still_until = -1;
   vigil_ = Vigil(w_.clock.now);
+  known_cancellations_ = {};
+  std::vector<std::string> siblings;
+  for (const auto& n : w_.nodes)
+    if (n.get() != this) siblings.push_back(n->label_);
+  horizon_ = CancellationHorizon(std::move(siblings));
+  highest_token_ = 0;
   pulse();
   watch();
   lead();
@@ -474,20 +482,90 @@
   later(0.25, &SimNode::pulse);
 }
 
-// Siblings that hear one another; the daemon's exchange of views tells more, and no rule rests on
-// it.
+// As the daemon's (Node::acts): leads without doubt.
+bool SimNode::acts() { return sure() && vigil_.runs(w_.clock.now, kLeaseTtl); }
+
+uint64_t SimNode::known_token() const {
+  return std::max({highest_token_, token_, mirror_.leader().empty() ? 0 : mirror_.leader_stamp()});
+}
+
+// What siblings tell one another of leaders and cancellations (Node::view, Node::hear).
 void SimNode::mesh() {
+  struct View {
+    std::string incarnation;
+    uint64_t token = 0, read_to = 0;
+  };
   const uint64_t life = life_;
-  for (size_t i = 0; i < w_.nodes.size(); ++i)
-    if (i != index_)
-      w_.call(
-          "n" + std::to_string(index_), "n" + std::to_string(i), 0.5, [] {},
-          [this, life](bool ok) {
-            if (ok && life == life_) heard_sibling_ = w_.clock.now;
-          });
+  const double sent = w_.clock.now;
+  for (size_t i = 0; i < w_.nodes.size(); ++i) {
+    if (i == index_) continue;
+    auto view = std::make_shared<View>();
+    SimNode* other = w_.nodes[i].get();
+    w_.call(
+        "n" + std::to_string(index_), "n" + std::to_string(i), 0.5,
+        [view, other] {
+          *view = {other->label_ + "." + std::to_string(other->life_), other->known_token(),
+                   other->known_cancellations_.read_to()};
+        },
+        [this, life, view, other, sent](bool ok) {
+          if (!ok || life != life_) return;
+          heard_sibling_ = w_.clock.now;
+          known_cancellations_.read_to(view->read_to);
+          highest_token_ = std::max(highest_token_, view->token);
+          if (core_ && view->token > token_) step_down("a sibling knows a higher token");
+          horizon_.vouched(other->label_, view->incarnation, view->token, token_, sent,
+                           w_.clock.now);
+        });
+  }
   later(1, &SimNode::mesh);
 }
 
+// As Node::take_cancelled.
+uint64_t SimNode::take_cancelled(uint64_t token, const std::string& id, const MirrorJob& job) {
+  if (core_ && token > token_) step_down("a sibling knows a newer leader");
+  if (!core_ || core_->lost() || !sure()) return 0;
+  put_job(id, ledger::encode(job.row), job.stamp);
+  return token_;
+}
+
+void SimNode::put_job(const std::string& id, const nlohmann::json& value, uint64_t stamp) {
+  mirror_.put(ledger::job_key(id), value, stamp);
+  if (core_) core_->on_job_row(*mirror_.job(id), id, w_.clock.now);
+}
+
+// As Node::may_say_aborted.
+void SimNode::may_say_aborted(const std::string& id, uint64_t leader,
+                              std::function<void(bool)> then) {
+  const MirrorJob* j = mirror_.job(id);
+  if (!j || j->row.standing != ledger::Standing::aborted) return then(false);
+  const uint64_t stamp = j->stamp;
+  if (known_cancellations_.has(id, stamp)) return then(true);
+  if (core_) {
+    const bool ours = !core_->lost() && sure() && token_ >= known_token();
+    if (ours) known_cancellations_.acknowledge(id, stamp);
+    return then(ours);
+  }
+  const uint64_t token = mirror_.leader().empty() ? 0 : mirror_.leader_stamp();
+  const bool placed = leader > 0 ? leader <= token : revision_ >= stamp;
+  size_t to = w_.nodes.size();
+  for (size_t i = 0; i < w_.nodes.size(); ++i)
+    if (w_.nodes[i]->label_ == mirror_.leader()) to = i;
+  if (token == 0 || !placed || to == w_.nodes.size()) return then(false);
+  auto got = std::make_shared<uint64_t>(0);
+  const MirrorJob row = *j;
+  w_.call(
+      "n" + std::to_string(index_), "n" + std::to_string(to), 1,
+      [this, to, token, id, row, got] { *got = w_.nodes[to]->take_cancelled(token, id, row); },
+      [this, life = life_, token, id, stamp, got, then](bool ok) {
+        if (life != life_) return;
+        if (ok && *got >= token) {
+          highest_token_ = std::max(highest_token_, *got);
+          known_cancellations_.acknowledge(id, stamp);
+        }
+        then(known_cancellations_.has(id, stamp));
+      });
+}
+
 void SimNode::crash() {
   alive = false;
   ++life_;
@@ -507,6 +585,7 @@
   auto rev = std::make_shared<uint64_t>(0);
   auto ok = std::make_shared<bool>(false);
   const uint64_t from = revision_;
+  const double sent = w_.clock.now;
   auto asked = std::make_shared<std::vector<std::function<void(bool)>>>(std::move(waiting_));
   waiting_.clear();
   w_.call(
@@ -517,7 +596,7 @@
         *events = w_.store.since(from);
         *rev = w_.store.revision;
       },
-      [this, life, events, rev, ok, asked](bool answered) {
+      [this, life, sent, events, rev, ok, asked](bool answered) {
         if (life != life_) return;
         const bool good = answered && *ok;
         if (good) {
@@ -536,7 +615,11 @@
           revision_ = std::max(revision_, *rev);
           heard_state_ = w_.clock.now;
           loaded_ = true;
+          horizon_.proven(sent);
+          if (!mirror_.leader().empty())
+            highest_token_ = std::max(highest_token_, mirror_.leader_stamp());
           if (core_ && mirror_.leader_stamp() > token_) step_down("not ours");
+          if (core_) known_cancellations_.read_to(revision_);
         }
         for (auto& f : *asked) f(good);
         if (life != life_) return;
@@ -564,7 +647,11 @@
             sure();
             vigil_.asked(now);
             if (!core_ || lease != lease_ || !ok) return;
-            if (*kept == 1) vigil_.kept(now);
+            if (*kept == 1) {
+              vigil_.kept(now);
+              horizon_.proven(now);
+            }
+            if (w_.clock.now - vigil_.kept_at() > kMaxDoubt) return step_down("in doubt for long");
             if (*kept == 2) step_down("lease ended");
           });
     }
@@ -603,6 +690,7 @@
               vigil_.kept(now);
               next_renewal_ = 0;
               core_ = std::make_unique<Core>(w_.settings, w_.types, token_, w_.clock.now);
+              core_->set_day_offset(0);
               core_->load(mirror_, w_.clock.now);
             });
           });
@@ -612,13 +700,14 @@
 }
 
 void SimNode::round() {
-  if (sure() && vigil_.runs(w_.clock.now, kLeaseTtl)) {
-    if (core_->lost())
-      step_down("lost");
-    else if (core_->deaf(w_.clock.now))
+  if (core_ && core_->lost()) step_down("lost");
+  if (acts()) {
+    if (core_->deaf(w_.clock.now))
       step_down("deaf", 12);
     else
       core_->round(w_.clock.now);
+  } else if (sure()) {
+    core_->watch_cancelled(w_.clock.now);
   }
   commit();
   direct();
@@ -627,7 +716,7 @@
 }
 
 void SimNode::commit() {
-  if (!sure() || committing_) return;
+  if (!acts() || committing_) return;
   auto p = core_->next_transaction(w_.clock.now);
   if (!p) return;
   committing_ = true;
@@ -662,7 +751,7 @@
 }
 
 void SimNode::direct() {
-  if (!sure()) return;
+  if (!acts()) return;
   while (auto d = core_->next_direct(w_.clock.now)) {
     const uint64_t life = life_, token = token_;
     const std::string name = d->addr.substr(std::string("worker-").size());
@@ -689,7 +778,8 @@
   auto done = [this, life] {
     if (life == life_) cloud_busy_ = false;
   };
-  if (auto names = core_->next_return(now); !names.empty()) {
+  const bool doubtful = !acts();
+  if (auto names = core_->next_return(now, doubtful); !names.empty()) {
     cloud_busy_ = true;
     auto o = std::make_shared<CloudOutcome>(CloudOutcome::refused);
     w_.call(
@@ -704,6 +794,8 @@
           if (life == life_ && core_ && token == token_)
             core_->on_return(names, ok ? *o : CloudOutcome::unknown, w_.clock.now);
         });
+  } else if (doubtful) {
+    return;
   } else if (auto h = core_->next_hire(now)) {
     cloud_busy_ = true;
     auto a = std::make_shared<World::HireAnswer>();
@@ -735,6 +827,12 @@
       w_.clock.now - heard_state_ > 5)
     return a;
   if (core_ && !sure()) return a;  // 503: it slept, and does not know yet whether it still leads
+  if (core_ &&
+      w_.clock.now - horizon_.at() > horizon_limit(w_.settings.cancel_s, w_.settings.lease_s))
+    return a;  // jobs may have been cancelled unheard
+  if (core_)
+    core_->allow_starts(vigil_.runs(w_.clock.now, kLeaseTtl) ||
+                        w_.clock.now - horizon_.at() < kFreshHorizon);
   if (core_ && !core_->lost()) {
     const ReportReply out = core_->on_report(r, w_.clock.now);
     if (out.verdict != ReportReply::Verdict::deposed) {
@@ -785,12 +883,18 @@
     if (a->standing == ledger::Standing::aborted) return "aborted";
     return a->running ? "running" : "pending";
   };
+  auto aborted = [this, id, reply](uint64_t leader) {
+    may_say_aborted(id, leader, [reply](bool may) { reply(may ? "aborted" : ""); });
+  };
   const std::string cached = state();
-  if (cached == "done" || cached == "aborted") return reply(cached);
-  barrier([this, verb, spec, id, state, reply](bool ok) {
+  if (cached == "done") return reply(cached);
+  if (cached == "aborted") return aborted(0);
+  barrier([this, verb, spec, id, state, aborted, reply](bool ok) {
     if (!ok) return reply("");
     const std::string s = state();
-    if (verb == "poll" || s == "done" || s == "aborted") return reply(s);
+    if (s == "aborted") return aborted(0);
+    if (verb == "poll" || s == "done") return reply(s);
+    uint64_t leader = 0;
     ledger::Transaction t;
     t.mark = label_ + "." + std::to_string(life_) + "." + std::to_string(++marks_);
     ledger::JobRow row;
@@ -808,13 +912,22 @@
       row.standing = ledger::Standing::aborted;
       row.tasks = j->row.tasks;
       row.per = j->row.per;
+      row.at_s = w_.clock.now;
       t.conditions = {{ledger::job_key(id), j->stamp}};
+      if (!mirror_.leader().empty()) {
+        leader = mirror_.leader_stamp();
+        t.conditions.push_back({ledger::kLeaderKey, leader});
+      }
     }
-    t.changes = {{ledger::job_key(id), false, ledger::encode(row), 0}};
-    settle(t, false, 3, [verb, reply](std::optional<ledger::Result> r) {
-      if (!r || r->outcome != Outcome::applied) return reply("");
-      reply(verb == "submit" ? "pending" : "aborted");
-    });
+    const json value = ledger::encode(row);
+    t.changes = {{ledger::job_key(id), false, value, 0}};
+    settle(t, false, 3,
+           [this, verb, id, value, leader, aborted, reply](std::optional<ledger::Result> r) {
+             if (!r || r->outcome != Outcome::applied) return reply("");
+             put_job(id, value, r->revision);
+             if (verb == "submit") return reply("pending");
+             aborted(leader);
+           });
   });
 }
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "checker.h"
+#include "core/cancellations.h"
 #include "core/core.h"
 #include "core/vigil.h"
 
@@ -176,6 +177,11 @@
  private:
   void later(double s, void (SimNode::*loop)());
   bool sure();
+  bool acts();
+  uint64_t known_token() const;
+  void may_say_aborted(const std::string& id, uint64_t leader, std::function<void(bool)> then);
+  uint64_t take_cancelled(uint64_t token, const std::string& id, const MirrorJob& job);
+  void put_job(const std::string& id, const nlohmann::json& value, uint64_t stamp);
   void watch();
   void lead();
   void round();
@@ -198,6 +204,9 @@
   std::unique_ptr<Core> core_;
   uint64_t token_ = 0, lease_ = 0;
   Vigil vigil_;
+  KnownCancellations known_cancellations_;
+  CancellationHorizon horizon_;
+  uint64_t highest_token_ = 0;
   double rest_until_ = 0, heard_state_ = -1e9, heard_sibling_ = -1e9;
   std::vector<std::function<void(bool)>> waiting_;
   bool committing_ = false, cloud_busy_ = false;
