--- a/tests/checker.cpp
+++ b/tests/checker.cpp
@@ -7,6 +7,20 @@
 namespace {
 // After all troubles, a job about which nothing is answered for this long is forgotten.
 constexpr double kUnanswered = 75;
+// After all troubles, no job waits for this long while there is room for it.
+constexpr double kWaits = 90;
+
+bool allowed(const std::vector<std::string>& types, const std::string& type) {
+  return types.empty() || std::find(types.begin(), types.end(), type) != types.end();
+}
+
+// The least that a job needs to go on: one task of an array, all of a gang.
+uint32_t least(const JobSpec& s) { return s.shape == Shape::gang ? s.tasks : 1; }
+
+bool within(const TeamInfo& team, const Amounts& used) {
+  return (team.cpus_max <= 0 || used.cpus <= team.cpus_max + 1e-6) &&
+         (team.gpus_max <= 0 || used.gpus <= team.gpus_max + 1e-6);
+}
 }  // namespace
 
 void Checker::breaks(double now, const std::string& rule, const std::string& what) {
@@ -26,13 +40,15 @@
     return;
   }
   JobTruth& j = it->second;
-  j.failing_since = -1;
+  j.failing_since = j.silent_since = -1;
   j.cancel_asked = j.cancel_asked || cancel_asked;
   if (!standing) {
     if (j.accepted && (a == "404" || a == "400" || a == "422"))
       breaks(now, "forgotten", id + " is answered " + a);
     return;
   }
+  if (const std::string why = unfit(j); !j.accepted && !why.empty())
+    breaks(now, "accepted_unfit", id + " " + why);
   j.accepted = true;
   if (j.called_done && a != "done") breaks(now, "went_back", id + " was done, is " + a);
   if (j.called_aborted && a != "aborted") breaks(now, "went_back", id + " was aborted, is " + a);
@@ -50,9 +66,11 @@
 void Checker::poll_failed(double now, const std::string& id, bool others_answered) {
   JobTruth& j = jobs_[id];
   if (!j.accepted) return;
+  if (j.silent_since < 0) j.silent_since = now;
   if (now >= troubles_over) {
-    if (j.failing_since < troubles_over) j.failing_since = now;
-    if (now - j.failing_since > kUnanswered)
+    // One that nobody could ask about when the troubles ended has been silent since then, however
+    // late its next question.
+    if (now - std::max(j.silent_since, troubles_over) > kUnanswered)
       breaks(now, "forgotten", id + " cannot be asked about after all troubles");
     return;
   }
@@ -64,7 +82,73 @@
   }
 }
 
-void Checker::starts(double now, const std::string& id, uint32_t task, const Place& at) {
+std::string Checker::unfit(const JobTruth& j) const {
+  if (j.lacks_a_field) return "lacks a field";
+  const TeamInfo* t = team(j.spec.team);
+  if (!t) return "is of an unknown team";
+  if (!within(*t, j.spec.each.times(least(j.spec)))) return "is over its team's limit";
+  if (!types_.empty() && std::none_of(types_.begin(), types_.end(), [&](const TypeInfo& type) {
+        return allowed(j.spec.types, type.name) && j.spec.each.fits(type.size);
+      }))
+    return "fits no machine type";
+  return "";
+}
+
+const TeamInfo* Checker::team(const std::string& name) const {
+  auto it =
+      std::find_if(teams_.begin(), teams_.end(), [&](const TeamInfo& t) { return t.name == name; });
+  return it == teams_.end() ? nullptr : &*it;
+}
+
+// The tasks of a job are equal, so counting what each machine takes is exact.
+bool Checker::finds_room(const JobSpec& s, const std::vector<Room>& rooms) const {
+  std::map<std::string, uint32_t> by_zone;
+  for (const Room& r : rooms) {
+    if (r.spot && !s.spot) continue;
+    if (!s.zone.empty() && s.zone != r.zone) continue;
+    if (!allowed(s.types, r.type)) continue;
+    Amounts left = r.free;
+    uint32_t& n = by_zone[r.zone];
+    for (; n < s.tasks && s.each.fits(left); ++n) left -= s.each;
+  }
+  uint32_t most = 0, all = 0;
+  for (const auto& [zone, n] : by_zone) {
+    most = std::max(most, n);
+    all += s.scatter ? std::min(n, (s.tasks + 1) / 2) : n;
+  }
+  return (s.one_zone ? most : all) >= least(s);
+}
+
+void Checker::rooms(double now, const std::vector<Room>& rooms,
+                    const std::map<std::string, size_t>& held) {
+  if (now < troubles_over) return;
+  std::map<std::string, Amounts> used;
+  for (const auto& [id, n] : held) {
+    const JobSpec& s = jobs_[id].spec;
+    used[s.team] += s.each.times(static_cast<double>(n));
+  }
+  for (auto& [id, j] : jobs_) {
+    const TeamInfo* t = team(j.spec.team);
+    bool waits = j.accepted && !j.cancel_asked && !j.faulty && t && j.done.size() < j.spec.tasks &&
+                 !held.count(id);
+    if (waits) {
+      Amounts with = used[j.spec.team];
+      with += j.spec.each.times(least(j.spec));
+      waits = within(*t, with) && finds_room(j.spec, rooms);
+    }
+    if (!waits) {
+      j.waits_since = -1;
+    } else if (j.waits_since < 0) {
+      j.waits_since = now;
+    } else if (now - j.waits_since > kWaits) {
+      breaks(now, "left_waiting", id + " has waited for room that there is");
+      j.waits_since = now;
+    }
+  }
+}
+
+void Checker::starts(double now, const std::string& id, uint32_t task, const Place& at,
+                     double ordered_at) {
   ++starts_;
   JobTruth& j = jobs_[id];
   if (j.begun_at < 0) j.begun_at = now;
@@ -73,11 +157,15 @@
     if (m != at.machine) breaks(now, "ran_twice", name + " on " + m + " and " + at.machine);
   if (j.aborted_at >= 0 && now > j.aborted_at + cancel_s_)
     breaks(now, "ran_cancelled", name + " starts");
+  // A command in flight when the user was told may still start its task; none may be given out
+  // later. The time of the command itself is known here, so no allowance for the network is needed.
+  if (j.aborted_at >= 0 && ordered_at > j.aborted_at)
+    breaks(now, "started_cancelled",
+           name + " ordered at " + std::to_string(ordered_at) + ", cancelled at " +
+               std::to_string(j.aborted_at));
   bool place_ok = !at.spot || j.spec.spot;
   place_ok = place_ok && (j.spec.zone.empty() || j.spec.zone == at.zone);
-  place_ok = place_ok &&
-             (j.spec.types.empty() ||
-              std::find(j.spec.types.begin(), j.spec.types.end(), at.type) != j.spec.types.end());
+  place_ok = place_ok && allowed(j.spec.types, at.type);
   uint32_t same = 1;
   for (const auto& [t, places] : j.on) {
     if (t == task) continue;
--- a/tests/checker.h
+++ b/tests/checker.h
@@ -16,15 +16,24 @@
   bool spot = false;
 };
 
+// What is free on a machine that can take tasks.
+struct Room {
+  std::string type, zone;
+  bool spot = false;
+  Amounts free;
+};
+
 class Checker {
  public:
-  Checker(std::vector<TeamInfo> teams, double cancel_s)
-      : teams_(std::move(teams)), cancel_s_(cancel_s) {}
+  // Without types, no job is too large for them.
+  Checker(std::vector<TeamInfo> teams, double cancel_s, std::vector<TypeInfo> types = {})
+      : teams_(std::move(teams)), types_(std::move(types)), cancel_s_(cancel_s) {}
 
   // What users do and are told.
-  void submitted(double now, const JobSpec& spec) {
+  void submitted(double now, const JobSpec& spec, bool lacks_a_field = false) {
     jobs_[spec.id].spec = spec;
     jobs_[spec.id].submitted_at = now;
+    jobs_[spec.id].lacks_a_field = lacks_a_field;
   }
   // `answer`: "pending", "running", "done", "aborted", "404", "400", "422"; others are failures.
   void told(double now, const std::string& job, const std::string& answer, bool cancel_asked);
@@ -34,10 +43,16 @@
   double troubles_over = 1e18;
 
   // What really happens.
-  void starts(double now, const std::string& job, uint32_t task, const Place& at);
+  // `ordered_at`: when a controller gave out the command that starts it; negative: not known.
+  void starts(double now, const std::string& job, uint32_t task, const Place& at,
+              double ordered_at = -1);
   void leaves(const std::string& job, uint32_t task, const std::string& machine);
   void completed(const std::string& job, uint32_t task) { jobs_[job].done.insert(task); }
   void tick(double now);
+  // Where there is room, and how many tasks of each job the machines hold, those that still fetch
+  // their images included. Jobs that fail by themselves are left out: they may be put off.
+  void rooms(double now, const std::vector<Room>& rooms, const std::map<std::string, size_t>& held);
+  void fails_by_itself(const std::string& job) { jobs_[job].faulty = true; }
 
   const std::vector<std::string>& broken() const { return broken_; }
   bool is_broken(const std::string& rule) const;
@@ -53,13 +68,21 @@
     std::map<uint32_t, std::map<std::string, Place>> on;  // task -> machine -> place
     std::set<uint32_t> done;
     bool accepted = false, called_done = false, called_aborted = false, cancel_asked = false;
+    bool lacks_a_field = false, faulty = false;
     double aborted_at = -1;
-    double failing_since = -1;
+    double failing_since = -1;  // while others were answered
+    double silent_since = -1;   // whether or not others were
+    double waits_since = -1;    // though there is room
     double submitted_at = -1, begun_at = -1;
   };
   void breaks(double now, const std::string& rule, const std::string& what);
+  // Why it can never run; empty: it can.
+  std::string unfit(const JobTruth& j) const;
+  const TeamInfo* team(const std::string& name) const;
+  bool finds_room(const JobSpec& spec, const std::vector<Room>& rooms) const;
 
   std::vector<TeamInfo> teams_;
+  std::vector<TypeInfo> types_;
   double cancel_s_;
   std::map<std::string, JobTruth> jobs_;
   std::vector<std::string> broken_;
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include "sim.h"
+
 namespace rookdyke::test {
 namespace {
 
@@ -96,6 +98,274 @@
   EXPECT_TRUE(checker.is_broken("ran_cancelled"));
 }
 
+// A command that was in flight when the user was told may still start its task; one that is given
+// out later may not.
+TEST_F(CheckerTest, StartsOrderedAfterTheCancellation) {
+  checker.told(5, "wk-000001", "aborted", true);
+  checker.starts(6, "wk-000001", 0, at("m1"), 4.9);
+  EXPECT_FALSE(checker.is_broken("started_cancelled"));
+  checker.starts(6, "wk-000001", 1, at("m1"), 5.1);
+  EXPECT_TRUE(checker.is_broken("started_cancelled"));
+  EXPECT_FALSE(checker.is_broken("ran_cancelled"));
+}
+
+TEST_F(CheckerTest, StartsOrderedBeforeTheConfirmation) {
+  checker.told(5, "wk-000001", "pending", true);
+  checker.starts(6, "wk-000001", 0, at("m1"), 5.5);
+  EXPECT_FALSE(checker.is_broken("started_cancelled")) << "asked for, not confirmed";
+}
+
+class CheckerAcceptedUnfitTest : public testing::Test {
+ protected:
+  CheckerAcceptedUnfitTest()
+      : checker({{"t", 0, 0, 0, 4}}, 30, {type("small", 2, 2), type("large", 8, 8)}) {}
+  static TypeInfo type(const std::string& name, double cpus, double gpus) {
+    TypeInfo t;
+    t.name = name;
+    t.size = {cpus, gpus, 16};
+    t.zones = {"a"};
+    return t;
+  }
+  bool taken(const JobSpec& s, const std::string& answer = "pending", bool lacks = false) {
+    checker.submitted(0, s, lacks);
+    checker.told(1, s.id, answer, false);
+    return checker.is_broken("accepted_unfit");
+  }
+  Checker checker;
+};
+
+TEST_F(CheckerAcceptedUnfitTest, WhatCanRunMayBeAccepted) {
+  JobSpec s = job("wk-000001");
+  s.tasks = 100;  // an array runs by and by
+  EXPECT_FALSE(taken(s));
+  JobSpec gang = job("wk-000002");
+  gang.shape = Shape::gang;
+  gang.tasks = 4;
+  EXPECT_FALSE(taken(gang));
+  JobSpec large = job("wk-000003");
+  large.each = {4, 4, 1};
+  large.types = {"small", "large"};
+  EXPECT_FALSE(taken(large));
+}
+
+TEST_F(CheckerAcceptedUnfitTest, ARefusalIsWell) {
+  JobSpec s = job("wk-000001");
+  s.team = "nobody";
+  EXPECT_FALSE(taken(s, "422"));
+  EXPECT_FALSE(taken(job("wk-000002"), "400", true));
+}
+
+TEST_F(CheckerAcceptedUnfitTest, UnknownTeam) {
+  JobSpec s = job("wk-000001");
+  s.team = "nobody";
+  EXPECT_TRUE(taken(s));
+}
+
+TEST_F(CheckerAcceptedUnfitTest, NoTypeFits) {
+  JobSpec s = job("wk-000001");
+  s.each = {4, 1, 1};
+  s.types = {"small"};
+  EXPECT_TRUE(taken(s));
+}
+
+TEST_F(CheckerAcceptedUnfitTest, OneTaskOfAnArrayIsOverTheLimit) {
+  JobSpec s = job("wk-000001");
+  s.each = {1, 5, 1};
+  EXPECT_TRUE(taken(s));
+}
+
+TEST_F(CheckerAcceptedUnfitTest, AGangIsOverTheLimit) {
+  JobSpec s = job("wk-000001");
+  s.shape = Shape::gang;
+  s.tasks = 5;
+  EXPECT_TRUE(taken(s));
+}
+
+TEST_F(CheckerAcceptedUnfitTest, LacksAField) {
+  EXPECT_TRUE(taken(job("wk-000001"), "pending", true));
+}
+
+// Once the troubles are over nobody waits for 90 s for room that there is.
+class CheckerLeftWaitingTest : public CheckerTest {
+ protected:
+  CheckerLeftWaitingTest() {
+    checker.troubles_over = 100;
+    checker.told(1, "wk-000001", "pending", false);
+  }
+  void look(double from, double to, const std::vector<Room>& rooms,
+            const std::map<std::string, size_t>& held = {}) {
+    for (double t = from; t <= to; t += 5) checker.rooms(t, rooms, held);
+  }
+  bool left() const { return checker.is_broken("left_waiting"); }
+  const Room one{"box", "a", false, {1, 1, 1}};
+};
+
+TEST_F(CheckerLeftWaitingTest, ForNinetySeconds) {
+  look(0, 190, {one});
+  EXPECT_FALSE(left()) << "it counts from the end of the troubles on";
+  look(195, 195, {one});
+  EXPECT_TRUE(left());
+}
+
+TEST_F(CheckerLeftWaitingTest, RoomThatCloses) {
+  look(100, 150, {one});
+  look(155, 155, {});
+  look(160, 250, {one});
+  EXPECT_FALSE(left());
+}
+
+TEST_F(CheckerLeftWaitingTest, HeldTasksDoNotWait) {
+  look(100, 300, {one}, {{"wk-000001", 1}});
+  EXPECT_FALSE(left());
+}
+
+TEST_F(CheckerLeftWaitingTest, NobodyWaitsAfterTheEnd) {
+  checker.completed("wk-000001", 0);
+  checker.completed("wk-000001", 1);
+  look(100, 300, {one});
+  JobSpec s = job("wk-000002");
+  checker.submitted(0, s);
+  checker.told(2, s.id, "aborted", true);
+  look(300, 500, {one});
+  EXPECT_FALSE(left());
+}
+
+TEST_F(CheckerLeftWaitingTest, RoomOfTheWrongKind) {
+  look(100, 300, {{"box", "a", true, {1, 1, 1}}, {"box", "a", false, {1, 0, 1}}});
+  EXPECT_FALSE(left());
+}
+
+TEST_F(CheckerLeftWaitingTest, TheTeamIsAtItsLimit) {
+  checker.submitted(0, job("wk-000002"));
+  look(100, 300, {one}, {{"wk-000002", 2}});
+  EXPECT_FALSE(left());
+  look(305, 400, {one}, {{"wk-000002", 1}});
+  EXPECT_TRUE(left());
+}
+
+TEST_F(CheckerLeftWaitingTest, AGangNeedsRoomForAll) {
+  checker.completed("wk-000001", 0);
+  checker.completed("wk-000001", 1);
+  JobSpec s = job("wk-000002");
+  s.shape = Shape::gang;
+  s.one_zone = true;
+  checker.submitted(0, s);
+  checker.told(1, s.id, "pending", false);
+  const Room other{"box", "b", false, {1, 1, 1}};
+  look(100, 300, {one, other});
+  EXPECT_FALSE(left());
+  look(305, 400, {one, other, one});
+  EXPECT_TRUE(left());
+}
+
+TEST_F(CheckerLeftWaitingTest, ScatteredTasksNeedTwoZones) {
+  checker.completed("wk-000001", 0);
+  checker.completed("wk-000001", 1);
+  JobSpec s = job("wk-000002");
+  s.shape = Shape::gang;
+  s.scatter = true;
+  checker.submitted(0, s);
+  checker.told(1, s.id, "pending", false);
+  look(100, 300, {one, one});
+  EXPECT_FALSE(left());
+  look(305, 400, {one, {"box", "b", false, {1, 1, 1}}});
+  EXPECT_TRUE(left());
+}
+
+TEST_F(CheckerLeftWaitingTest, WhatFailsByItselfMayBePutOff) {
+  checker.fails_by_itself("wk-000001");
+  look(100, 300, {one});
+  EXPECT_FALSE(left());
+}
+
+// A machine with one task of a job that its user has been told is cancelled.
+class CheckerOnMachinesTest : public testing::Test {
+ protected:
+  static Settings settings() {
+    Settings s;
+    s.zones = {"a"};
+    s.teams = {{"t", 0, 0, 0, 0}};
+    s.cancel_s = 30;
+    s.lease_s = 20;
+    return s;
+  }
+  static TypeInfo type() {
+    TypeInfo t;
+    t.name = "box";
+    t.size = {16, 4, 64};
+    t.boot_s = 1;
+    t.zones = {"a"};
+    return t;
+  }
+  CheckerOnMachinesTest() : world(settings(), {type()}, 1, 1) {
+    world.store.outage = true;  // nobody leads, so nobody stops the task or returns the machine
+    world.start();
+    World::UserJob& j = world.jobs["wk-000001"];
+    j.spec = job("wk-000001");
+    j.run_s = 1000;
+    world.checker.submitted(0, j.spec);
+    Hire h;
+    h.name = "one";
+    h.type = "box";
+    h.zone = "a";
+    h.count = 1;
+    machine = world.workers.at(world.hire(h).names.at(0)).get();
+    world.clock.run(5);
+  }
+  void cancelled() { world.checker.told(world.clock.now, "wk-000001", "aborted", true); }
+  // As a leader's direct command.
+  void order() {
+    world.call(
+        "n0", machine->name, 1,
+        [this] {
+          machine->direct(1, 1, {{Verb::run, "wk-000001", 0, 1, 0}});
+        },
+        [](bool) {});
+  }
+  bool broken(const std::string& rule) const { return world.checker.is_broken(rule); }
+  World world;
+  Worker* machine = nullptr;
+};
+
+TEST_F(CheckerOnMachinesTest, GoesOnAfterAHang) {
+  order();
+  world.clock.run(6);
+  ASSERT_EQ(machine->tasks.size(), 1u);
+  machine->hang(100);
+  cancelled();
+  world.clock.run(35);
+  EXPECT_FALSE(broken("ran_cancelled"));
+  world.clock.run(37);
+  EXPECT_TRUE(broken("ran_cancelled"));
+}
+
+TEST_F(CheckerOnMachinesTest, EndsWithTheLease) {
+  order();
+  world.clock.run(6);
+  cancelled();
+  world.clock.run(100);
+  EXPECT_FALSE(broken("ran_cancelled"));
+  EXPECT_FALSE(broken("started_cancelled"));
+}
+
+TEST_F(CheckerOnMachinesTest, AnOrderInFlightMayStartIt) {
+  machine->hang(3);
+  order();
+  world.clock.run(6);
+  cancelled();
+  world.clock.run(9);
+  ASSERT_EQ(machine->tasks.size(), 1u);
+  EXPECT_FALSE(broken("started_cancelled"));
+}
+
+TEST_F(CheckerOnMachinesTest, ALaterOrderMayNot) {
+  cancelled();
+  world.clock.run(6);
+  order();
+  world.clock.run(7);
+  EXPECT_TRUE(broken("started_cancelled"));
+}
+
 TEST_F(CheckerTest, Forgotten) {
   checker.told(1, "wk-000001", "404", false);  // not accepted yet
   EXPECT_FALSE(checker.is_broken("forgotten"));
@@ -124,6 +394,17 @@
   EXPECT_TRUE(checker.is_broken("forgotten"));
 }
 
+// A job that nobody has been able to ask about since before the end of the troubles is silent from
+// that end on, not only from the next question.
+TEST_F(CheckerTest, ForgottenSinceBeforeTheEndOfTheTroubles) {
+  checker.troubles_over = 100;
+  checker.told(1, "wk-000001", "pending", false);
+  for (int t = 38; t < 175; t += 20) checker.poll_failed(t, "wk-000001", false);
+  EXPECT_FALSE(checker.is_broken("forgotten"));
+  checker.poll_failed(178, "wk-000001", false);
+  EXPECT_TRUE(checker.is_broken("forgotten"));
+}
+
 TEST_F(CheckerTest, AnAnswerEndsTheSilence) {
   checker.troubles_over = 0;
   checker.told(1, "wk-000001", "pending", false);
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -10,6 +10,7 @@
 namespace {
 constexpr double kLeaseTtl = 2.5;
 constexpr double kWire = 0.005;
+constexpr double kLook = 5;  // how often the checker is told about room, in seconds
 }  // namespace
 
 // ---------------------------------------------------------------- time
@@ -146,7 +147,7 @@
     hung = false;
     if (w_.clock.now - lease_from_ > w_.settings.lease_s) session_over();
     in_flight_ = false;
-    for (const Held& h : held_) direct(h.token, h.session, h.orders);
+    for (const Held& h : held_) carry_out(h);
     held_.clear();
     next_in(0.01);
   });
@@ -211,28 +212,32 @@
     });
   auto got = std::make_shared<SimNode::ReportAnswer>();
   auto served = std::make_shared<bool>(false);
+  auto ordered_at = std::make_shared<double>(-1);
   const size_t node = node_;
   w_.call(
       name, "n" + std::to_string(node), 4,
-      [this, r, got, served, node] {
+      [this, r, got, served, node, ordered_at] {
         auto a = w_.nodes[node]->on_report(r);
-        if (!*served) *got = a;
+        if (*served) return;
+        *got = a;
+        *ordered_at = w_.clock.now;
         *served = true;
       },
-      [this, got, served, sent, session](bool ok) {
+      [this, got, served, sent, session, ordered_at](bool ok) {
         if (gone) return;
         ok = ok && w_.clock.now >= deaf_until;
         in_flight_ = false;
         if (hung) return;
         if (!ok)
-          answered(sent, session, 0, 0, {}, "");
+          answered(sent, session, 0, 0, {}, "", -1);
         else
-          answered(sent, session, got->status, got->token, got->orders, got->leader);
+          answered(sent, session, got->status, got->token, got->orders, got->leader, *ordered_at);
       });
 }
 
 void Worker::answered(double sent, uint64_t session, int status, uint64_t token,
-                      const std::vector<Order>& orders, const std::string& leader) {
+                      const std::vector<Order>& orders, const std::string& leader,
+                      double ordered_at) {
   if (session != session_) {
     next_in(0.1);
     return;
@@ -241,7 +246,7 @@
     if (token >= token_) {
       token_ = token;
       lease_from_ = sent;
-      execute(orders);
+      execute(orders, ordered_at);
     }
     const double base = w_.settings.report_s;
     const double gap = base * (0.75 + 0.5 * w_.chance());
@@ -263,12 +268,13 @@
 
 void Worker::on_machine(const std::string& job, uint32_t task, bool is) {
   if (is)
-    w_.checker.starts(w_.clock.now, job, task, {name, type.name, zone, spot});
+    w_.checker.starts(w_.clock.now, job, task, {name, type.name, zone, spot},
+                      tasks.at({job, task}).ordered_at);
   else
     w_.checker.leaves(job, task, name);
 }
 
-void Worker::execute(const std::vector<Order>& orders) {
+void Worker::execute(const std::vector<Order>& orders, double ordered_at) {
   for (const Order& o : orders) {
     const auto key = std::make_pair(o.job, o.task);
     auto it = tasks.find(key);
@@ -277,6 +283,7 @@
         if (it != tasks.end() && it->second.attempt == o.attempt) break;
         Task t;
         t.attempt = o.attempt;
+        t.ordered_at = ordered_at;
         auto j = w_.jobs.find(o.job);
         if (it != tasks.end()) {
           if (it->second.seen != Seen::exited) break;  // in_use would hide the older one here
@@ -353,17 +360,21 @@
 std::optional<Report> Worker::direct(uint64_t token, uint64_t session,
                                      const std::vector<Order>& orders) {
   if (gone || !up || w_.clock.now < deaf_until) return std::nullopt;
+  const Held h{token, session, orders, w_.sent_at()};
   if (hung) {
-    held_.push_back({token, session, orders});
+    held_.push_back(h);
     return std::nullopt;
   }
-  if (token >= token_ && session == session_) {
-    token_ = token;
-    execute(orders);
-  }
+  carry_out(h);
   return make_report();
 }
 
+void Worker::carry_out(const Held& h) {
+  if (gone || h.token < token_ || h.session != session_) return;
+  token_ = h.token;
+  execute(h.orders, h.ordered_at);
+}
+
 void Worker::begin(const std::string& job, uint32_t task) {
   Task& t = tasks.at({job, task});
   World::UserJob& j = w_.jobs.at(job);
@@ -825,7 +836,7 @@
       settings(std::move(s)),
       types(std::move(t)),
       random(seed),
-      checker(settings.teams, settings.cancel_s) {
+      checker(settings.teams, settings.cancel_s, types) {
   for (size_t i = 0; i < n; ++i) nodes.push_back(std::make_unique<SimNode>(*this, i));
   for (const TypeInfo& ti : types)
     for (const std::string& z : ti.zones) {
@@ -841,15 +852,41 @@
 
 void World::tick() {
   checker.tick(clock.now);
+  if (clock.now >= std::max(checker.troubles_over, next_look_)) {
+    next_look_ = clock.now + kLook;
+    look_for_room();
+  }
   clock.after(0.5, [this] { tick(); });
 }
 
+void World::look_for_room() {
+  std::vector<Room> rooms;
+  std::map<std::string, size_t> held;
+  for (const auto& [n, w] : workers) {
+    if (w->gone || !w->up) continue;
+    Amounts free = w->type.size;
+    for (const auto& [k, t] : w->tasks) {
+      if (t.seen == Seen::exited) continue;
+      free -= jobs.at(k.first).spec.each;
+      ++held[k.first];
+    }
+    // One that hangs, fails its tasks or is about to be taken has no room for anybody.
+    if (!w->hung && !w->sick && w->recall_at_ < 0)
+      rooms.push_back({w->type.name, w->zone, w->spot, free});
+  }
+  checker.rooms(clock.now, rooms, held);
+}
+
 void World::cut(const std::string& a, const std::string& b, double s, bool hold) {
   cuts_[{a, b}] = cuts_[{b, a}] = {clock.now + s, hold};
 }
 
 void World::call(const std::string& from, const std::string& to, double timeout,
-                 std::function<void()> serve, std::function<void(bool)> done) {
+                 std::function<void()> served, std::function<void(bool)> done) {
+  const auto serve = [this, served, sent = clock.now] {
+    sent_at_ = sent;
+    served();
+  };
   auto open = [this](const std::string& a, const std::string& b) -> Cut* {
     for (const auto& key : {std::make_pair(a, b), std::make_pair(a, std::string("*")),
                             std::make_pair(std::string("*"), b)}) {
@@ -993,6 +1030,7 @@
   j.run_s = run_s;
   j.faulty = faulty;
   checker.submitted(clock.now, spec);
+  if (faulty) checker.fails_by_itself(spec.id);
   try_submit(spec.id, clock.now);
 }
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -109,11 +109,12 @@
     bool saved = false;
     uint64_t step = 0;  // outdates scheduled steps
     double began = 0;
+    double ordered_at = -1;
   };
   std::map<std::pair<std::string, uint32_t>, Task> tasks;
 
   Report make_report();
-  void execute(const std::vector<Order>& orders);
+  void execute(const std::vector<Order>& orders, double ordered_at);
   std::optional<Report> direct(uint64_t token, uint64_t session, const std::vector<Order>& orders);
   void begin(const std::string& job, uint32_t task);
   // By value: callers pass keys of the map that this erases from.
@@ -123,7 +124,7 @@
  private:
   void report();
   void answered(double sent, uint64_t session, int status, uint64_t token,
-                const std::vector<Order>& orders, const std::string& leader);
+                const std::vector<Order>& orders, const std::string& leader, double ordered_at);
   void next_in(double s);
   void check_lease();
   void on_machine(const std::string& job, uint32_t task, bool is);
@@ -139,7 +140,9 @@
   struct Held {
     uint64_t token, session;
     std::vector<Order> orders;
+    double ordered_at;
   };
+  void carry_out(const Held& h);
   std::vector<Held> held_;  // what arrived while it hung
   std::set<std::string> images_;
   friend class World;
@@ -275,10 +278,13 @@
   size_t machines_up() const;
   // Never the same twice: a step scheduled for a forgotten attempt must not fire for the next one.
   uint64_t new_step() { return ++steps_; }
+  // When the message was sent that is served right now.
+  double sent_at() const { return sent_at_; }
   double chance() { return std::uniform_real_distribution<double>(0, 1)(random); }
 
  private:
   void tick();
+  void look_for_room();
   void try_submit(const std::string& id, double started);
   void try_abort(const std::string& id);
   void poll(const std::string& id);
@@ -288,6 +294,7 @@
   double awake_at(const std::string& place) const;
   std::map<std::pair<std::string, std::string>, Cut> cuts_;
   uint64_t next_machine_ = 0, steps_ = 0;
+  double sent_at_ = 0, next_look_ = 0;
 };
 
 }  // namespace rookdyke::test
