--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -13,6 +13,8 @@
 //   capacity ZONE spot|ordinary N machines to be had (default 100)
 //   messages [lose P] [repeat P] [slow P]    chances for every message, for the whole run
 //   late_copies P S               chance that a copy of a report comes up to S seconds later
+//   late_writes P                 chance that a transaction gets no answer and is carried out 2 to
+//                                 12 s later, after newer ones
 //   never_boots P
 //   objective LOT wait|finished S   what is promised for a class
 //
@@ -30,7 +32,21 @@
 //   at T unplug MACHINES [in ZONE] for S [hold]     cut from all controllers, a count of machines
 //   at T state_outage S
 //   at T cloud_outage S
-//   at T deafen MACHINES for S    their reports arrive; no answer or command reaches them
+//   at T refuse leader|K for S    the state service refuses that node alone
+//   at T slow_state S for D       the state service answers after up to S seconds
+//   at T late_writes P for S
+//   at T late_copies P S for D
+//   at T hold_commands P S for D  direct commands or their answers are held up to S seconds, and go
+//                                 on
+//   at T zone_cut ZONE for S [hold]     its machines and nodes are cut from all outside of it; node
+//                                 i lies in zone i modulo their number
+//   at T mute MACHINES [in ZONE] for S  they reach no controller; direct commands reach them
+//   at T cancel_now N [hang S]    N jobs that run and have longest to go are cancelled; with hang,
+//                                 up to eight of their machines hang
+//   at T cancel_at_end P for S    that share of the jobs that end is cancelled at that moment
+//   at T odd_requests for S       users repeat submissions, cancel what is done, ask about unknown
+//                                 jobs; each job's end meets a repeated submission and a question
+//   at T deafen MACHINES [in ZONE] for S    their reports arrive; no answer or command reaches them
 //   at T hang|sick|take MACHINES [for S] [notice S]    MACHINES: a count, or all, or busy
 //   troubles_over T               from then on every accepted job is answered for
 //   until T
@@ -118,6 +134,7 @@
     world_->never_boots = never_boots_;
     world_->late_copies = late_copies_;
     world_->late_copies_s = late_copies_s_;
+    world_->late_writes = late_writes_;
     std::vector<std::pair<int, Words>> expects;
     double until = 0;
     for (; i < script_.lines.size(); ++i) {
@@ -255,6 +272,8 @@
     } else if (w[0] == "late_copies") {
       late_copies_ = number(w, 1, line);
       late_copies_s_ = number(w, 2, line);
+    } else if (w[0] == "late_writes") {
+      late_writes_ = number(w, 1, line);
     } else if (w[0] == "objective") {
       settings_.objectives.push_back(
           {word(w, 2, line) == "wait", word(w, 1, line), number(w, 3, line)});
@@ -274,6 +293,14 @@
         if (w[i] == name) return number(w, i + 1, line);
       return other;
     };
+    // One of the world's chances or times is changed for a while.
+    auto for_a_while = [&](double World::*what, double value) {
+      const double s = option("for", 10);
+      world->clock.at(t, [world, what, value, s] {
+        world->clock.after(s, [world, what, was = world->*what] { world->*what = was; });
+        world->*what = value;
+      });
+    };
     auto flag = [&](const std::string& name) {
       return std::find(w.begin() + 3, w.end(), name) != w.end();
     };
@@ -389,6 +416,42 @@
           if (who == "leader") break;
         }
       });
+    } else if (what == "refuse") {
+      const std::string who = word(w, 3, line);
+      const double s = option("for", 10);
+      world->clock.at(t, [world, who, s] {
+        for (size_t i = 0; i < world->nodes.size(); ++i)
+          if (means(*world, who, i)) {
+            world->refuse("n" + std::to_string(i), s);
+            break;
+          }
+      });
+    } else if (what == "slow_state") {
+      for_a_while(&World::slow_state_s, number(w, 3, line));
+    } else if (what == "late_writes") {
+      for_a_while(&World::late_writes, number(w, 3, line));
+    } else if (what == "late_copies") {
+      for_a_while(&World::late_copies, number(w, 3, line));
+      for_a_while(&World::late_copies_s, number(w, 4, line));
+    } else if (what == "hold_commands") {
+      for_a_while(&World::hold_commands, number(w, 3, line));
+      for_a_while(&World::hold_commands_s, number(w, 4, line));
+    } else if (what == "cancel_at_end") {
+      for_a_while(&World::cancel_at_end, number(w, 3, line));
+    } else if (what == "odd_requests") {
+      const double s = option("for", 10);
+      world->clock.at(t, [world, s] { world->odd_requests(s); });
+    } else if (what == "cancel_now") {
+      const size_t n = static_cast<size_t>(number(w, 3, line));
+      const double s = option("hang", 0);
+      world->clock.at(t, [world, n, s] { world->cancel_now(n, s); });
+    } else if (what == "zone_cut") {
+      const std::string zone = word(w, 3, line);
+      if (std::find(settings_.zones.begin(), settings_.zones.end(), zone) == settings_.zones.end())
+        wrong(line, "no such zone");
+      const double s = option("for", 10);
+      const bool hold = flag("hold");
+      world->clock.at(t, [world, zone, s, hold] { world->cut_zone(zone, s, hold); });
     } else if (what == "state_outage") {
       const double s = number(w, 3, line);
       world->clock.at(t, [world, s] {
@@ -416,14 +479,18 @@
             world->cut("n" + std::to_string(i), name, s, hold);
         }
       });
-    } else if (what == "deafen") {
+    } else if (what == "deafen" || what == "mute") {
       size_t left = static_cast<size_t>(number(w, 3, line));
       const double s = option("for", 10);
-      world->clock.at(t, [world, left, s]() mutable {
+      std::string zone;
+      for (size_t i = 4; i < w.size(); ++i)
+        if (w[i] == "in") zone = word(w, i + 1, line);
+      const auto until = what == "mute" ? &Worker::mute_until : &Worker::deaf_until;
+      world->clock.at(t, [world, left, s, zone, until]() mutable {
         for (auto& [name, m] : world->workers) {
-          if (m->gone || !m->up) continue;
+          if (m->gone || !m->up || (!zone.empty() && m->zone != zone)) continue;
           if (left-- == 0) break;
-          m->deaf_until = world->clock.now + s;
+          m.get()->*until = world->clock.now + s;
         }
       });
     } else if (what == "hang" || what == "sick" || what == "take") {
@@ -517,7 +584,7 @@
   std::vector<TypeInfo> types_;
   Settings settings_;
   std::map<std::pair<std::string, bool>, int> capacity_;
-  double late_copies_ = 0, late_copies_s_ = 0;
+  double late_copies_ = 0, late_copies_s_ = 0, late_writes_ = 0;
   double lose_ = 0, repeat_ = 0, slow_ = 0, never_boots_ = 0;
   std::map<int, size_t> returns_at_;  // by the line that expects them
   std::unique_ptr<World> world_;
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -28,6 +28,14 @@
 // ---------------------------------------------------------------- state service
 
 ledger::Result Store::commit(const ledger::Transaction& t) {
+  const double late = outage ? -1 : lateness();
+  if (late < 0) return apply(t);
+  unanswered = true;
+  clock_.after(late, [this, t] { apply(t); });
+  return {};
+}
+
+ledger::Result Store::apply(const ledger::Transaction& t) {
   ledger::Result r;
   if (outage) {
     r.outcome = Outcome::refused;
@@ -204,6 +212,13 @@
   const double sent = w_.clock.now;
   last_sent_ = sent;
   const uint64_t session = session_;
+  if (w_.clock.now < mute_until) {  // it cannot even connect
+    w_.clock.after(kWire, [this, session, sent] {
+      in_flight_ = false;
+      if (!gone && !hung) answered(sent, session, 0, 0, {}, "", -1);
+    });
+    return;
+  }
   const Report r = make_report();
   if (w_.chance() < w_.late_copies)
     w_.clock.after(w_.late_copies_s * w_.chance(), [this, r] {
@@ -424,8 +439,9 @@
   }
   World::UserJob& j = w_.jobs.at(job);
   if (why == Cause::done) {
-    j.done.insert(task);
+    const bool fresh = j.done.insert(task).second;
     w_.checker.completed(job, task);
+    if (fresh && j.done.size() == j.spec.tasks) w_.ended(job);
   } else if (was_running && j.spec.shape == Shape::gang && why != Cause::peers) {
     w_.gang_lost(job, attempt);
   }
@@ -837,6 +853,9 @@
       types(std::move(t)),
       random(seed),
       checker(settings.teams, settings.cancel_s, types) {
+  store.lateness = [this] {
+    return late_writes > 0 && chance() < late_writes ? 2 + 10 * chance() : -1.0;
+  };
   for (size_t i = 0; i < n; ++i) nodes.push_back(std::make_unique<SimNode>(*this, i));
   for (const TypeInfo& ti : types)
     for (const std::string& z : ti.zones) {
@@ -881,19 +900,44 @@
   cuts_[{a, b}] = cuts_[{b, a}] = {clock.now + s, hold};
 }
 
+void World::cut_zone(const std::string& zone, double s, bool hold) {
+  zone_cuts_[zone] = {clock.now + s, hold};
+}
+
+std::string World::zone_of(const std::string& place) const {
+  if (auto w = workers.find(place); w != workers.end()) return w->second->zone;
+  if (place[0] != 'n' || place.size() > 3 || settings.zones.empty()) return "";
+  return settings.zones[std::stoul(place.substr(1)) % settings.zones.size()];
+}
+
+bool World::is_command(const std::string& from, const std::string& to) const {
+  return from[0] == 'n' && workers.count(to);
+}
+
+const Cut* World::cut_between(const std::string& a, const std::string& b) const {
+  for (const auto& key : {std::make_pair(a, b), std::make_pair(a, std::string("*")),
+                          std::make_pair(std::string("*"), b)}) {
+    auto it = cuts_.find(key);
+    if (it != cuts_.end() && clock.now < it->second.until) return &it->second;
+  }
+  for (const auto& [zone, c] : zone_cuts_)
+    if (clock.now < c.until && (zone_of(a) == zone) != (zone_of(b) == zone)) return &c;
+  return nullptr;
+}
+
 void World::call(const std::string& from, const std::string& to, double timeout,
                  std::function<void()> served, std::function<void(bool)> done) {
-  const auto serve = [this, served, sent = clock.now] {
+  const bool to_state = to == "state";
+  const auto serve = [this, served, from, to_state, sent = clock.now] {
     sent_at_ = sent;
+    store.unanswered = false;
+    // One that is refused alone sees what all see in an outage: its request is not carried out.
+    auto refused = refused_.find(from);
+    const bool refuses = to_state && refused != refused_.end() && clock.now < refused->second;
+    const bool outage = store.outage;
+    store.outage = outage || refuses;
     served();
-  };
-  auto open = [this](const std::string& a, const std::string& b) -> Cut* {
-    for (const auto& key : {std::make_pair(a, b), std::make_pair(a, std::string("*")),
-                            std::make_pair(std::string("*"), b)}) {
-      auto it = cuts_.find(key);
-      if (it != cuts_.end() && clock.now < it->second.until) return &it->second;
-    }
-    return nullptr;
+    store.outage = outage;
   };
   auto settled = std::make_shared<bool>(false);
   auto settle = [settled, done](bool ok) {
@@ -908,17 +952,25 @@
       settle(ok);
   };
   clock.after(timeout, [finish] { finish(false); });
-  const double lag = kWire + (chance() < slow ? 2.5 * chance() : 0);
+  double lag = kWire + (chance() < slow ? 2.5 * chance() : 0), back = kWire;
+  if (to_state && slow_state_s > 0) {
+    const double whole = slow_state_s * chance(), there = chance();
+    lag += whole * there;
+    back += whole * (1 - there);
+  }
+  if (hold_commands > 0 && is_command(from, to) && chance() < hold_commands)
+    (chance() < 0.5 ? lag : back) += hold_commands_s * chance();
   // What runs at the far end runs only while there is somebody.
   auto there = [this, to] {
     if (to[0] == 'n' && to.size() <= 3) return nodes[std::stoul(to.substr(1))]->alive;
     return true;
   };
-  const auto answer = [this, from, to, serve, finish, there, open] {
+  const auto answer = [this, from, to, to_state, serve, finish, there, back] {
     if (!there()) return;
     serve();
-    if (open(from, to) || chance() < lose) return;  // the answer is lost
-    clock.after(kWire, [finish] { finish(true); });
+    if (to_state && store.unanswered) return;
+    if (cut_between(from, to) || chance() < lose) return;  // the answer is lost
+    clock.after(back, [finish] { finish(true); });
   };
   // At a place that stands still it is read later, whether or not anybody still waits for it.
   auto arrive = [this, to, answer] {
@@ -927,7 +979,7 @@
     else
       answer();
   };
-  if (Cut* c = open(from, to)) {
+  if (const Cut* c = cut_between(from, to)) {
     if (c->hold)
       clock.at(c->until + 0.01, [serve, there] {
         if (there()) serve();
@@ -1115,6 +1167,91 @@
         [this, n, id, got] { n->user("abort", jobs[id].spec, got); }, [](bool) {});
 }
 
+void World::cancel_now(size_t count, double hang_s) {
+  std::map<std::string, double> left;  // what runs, and how long its longest task still takes
+  std::map<std::string, std::vector<Worker*>> on;
+  for (auto& [n, w] : workers)
+    for (auto& [k, t] : w->tasks) {
+      const UserJob& j = jobs.at(k.first);
+      if (t.seen != Seen::running || j.abort_asked) continue;
+      auto progress = j.progress.find(k.second);
+      const double made = progress == j.progress.end() ? 0 : progress->second;
+      double& most = left[k.first];
+      most = std::max(most, j.run_s - made - (clock.now - t.began));
+      on[k.first].push_back(w.get());
+    }
+  std::vector<std::pair<double, std::string>> longest;
+  for (const auto& [id, s] : left) longest.emplace_back(s, id);
+  std::sort(longest.rbegin(), longest.rend());
+  size_t may_hang = hang_s > 0 ? 8 : 0;
+  for (size_t i = 0; i < longest.size() && i < count; ++i) {
+    const std::string& id = longest[i].second;
+    clock.after(0.2 * chance(), [this, id] { abort(id); });
+    for (Worker* w : on[id]) {
+      if (may_hang == 0 || w->hung) continue;
+      --may_hang;
+      w->hang(hang_s);
+    }
+  }
+}
+
+void World::ended(const std::string& id) {
+  if (cancel_at_end > 0 && chance() < cancel_at_end) abort(id);
+  if (clock.now >= odd_until) return;
+  ask_once("submit", jobs.at(id).spec);
+  ask_once("poll", jobs.at(id).spec);
+}
+
+void World::odd_requests(double s) {
+  odd_until = clock.now + s;
+  odd_request();
+}
+
+void World::odd_request() {
+  if (clock.now >= odd_until) return;
+  std::vector<std::string> open, done;
+  for (const auto& [id, j] : jobs) {
+    if (j.told == "pending" || j.told == "running") open.push_back(id);
+    if (j.told == "done") done.push_back(id);
+  }
+  if (!open.empty()) ask_once("submit", jobs.at(open[random() % open.size()]).spec);
+  if (!done.empty()) {
+    UserJob& j = jobs.at(done[random() % done.size()]);
+    j.abort_asked = true;
+    ask_once("abort", j.spec);
+  }
+  JobSpec nobody;
+  nobody.id = "wk-999999";
+  ask_once("poll", nobody);
+  clock.after(0.5, [this] { odd_request(); });
+}
+
+void World::ask_once(const std::string& verb, const JobSpec& spec) {
+  size_t i = 0;
+  SimNode* n = any_node(i);
+  if (!n) return;
+  auto answered = std::make_shared<bool>(false);
+  const double sent = clock.now;
+  auto got = [this, verb, id = spec.id, answered, sent](const std::string& a) {
+    if (*answered || a.empty() || clock.now - sent > 5) return;
+    *answered = true;
+    heard(id, a, verb == "abort");
+  };
+  call(
+      "users", "n" + std::to_string(i), 5, [n, verb, spec, got] { n->user(verb, spec, got); },
+      [](bool) {});
+}
+
+void World::heard(const std::string& id, const std::string& a, bool cancel_asked) {
+  auto it = jobs.find(id);
+  checker.told(clock.now, id, a, cancel_asked || (it != jobs.end() && it->second.abort_asked));
+  if (it == jobs.end()) return;
+  UserJob& j = it->second;
+  j.told = a;
+  if (a == "done" && j.done_at < 0) j.done_at = clock.now;
+  if (a == "aborted" && j.aborted_at < 0) j.aborted_at = clock.now;
+}
+
 void World::gathered(const std::string& id, uint64_t attempt) {
   UserJob& j = jobs.at(id);
   std::vector<std::pair<Worker*, uint32_t>> members;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -60,6 +60,10 @@
   bool outage = false;
   uint64_t revision = 0;
   uint64_t transactions = 0;
+  // How much later a transaction is carried out, without an answer; negative: at once, with one.
+  std::function<double()> lateness = [] { return -1.0; };
+  // Whether the request that is served now gets no answer.
+  bool unanswered = false;
 
   ledger::Result commit(const ledger::Transaction& t);
   uint64_t grant(double ttl);
@@ -73,6 +77,7 @@
   }
 
  private:
+  ledger::Result apply(const ledger::Transaction& t);
   void expire(uint64_t lease);
   struct Lease {
     double ttl, until;
@@ -96,6 +101,7 @@
   void notice(double s);
   void session_over();
   bool gone = false, hung = false, sick = false, up = false;
+  double mute_until = -1;  // it reaches no controller; commands reach it
   double deaf_until = -1;  // its reports arrive; answers and commands do not reach it
   double hired_at;
   std::string name, zone;
@@ -230,6 +236,12 @@
   double lose = 0, repeat = 0, slow = 0;  // chances per message
   // Copies of reports that come late, to any node: chance per report, and up to how late.
   double late_copies = 0, late_copies_s = 0;
+  double late_writes = 0;  // chance per transaction to be carried out late and not answered
+  // Direct commands or their answers are held up: chance, and for up to how long.
+  double hold_commands = 0, hold_commands_s = 0;
+  double slow_state_s = 0;   // the state service answers after up to so long
+  double cancel_at_end = 0;  // chance that a job is cancelled as its last task ends
+  double odd_until = -1;     // until then users send odd requests
 
   // A request over the network from one place to another; places are "n0".. for nodes, "state",
   // "cloud", "users", and machine names. `serve` runs there (perhaps late, perhaps twice);
@@ -237,6 +249,11 @@
   void call(const std::string& from, const std::string& to, double timeout,
             std::function<void()> serve, std::function<void(bool)> done);
   void cut(const std::string& a, const std::string& b, double s, bool hold);
+  // What lies in a zone is cut from all that does not. Node i lies in zone i modulo their number;
+  // the state service, the cloud and the users lie in none.
+  void cut_zone(const std::string& zone, double s, bool hold);
+  // The state service refuses that place alone.
+  void refuse(const std::string& place, double s) { refused_[place] = clock.now + s; }
 
   // Cloud.
   struct HireAnswer {
@@ -268,6 +285,12 @@
   std::map<std::string, UserJob> jobs;
   void submit(const JobSpec& spec, double run_s, bool faulty);
   void abort(const std::string& id);
+  // Cancels jobs that run and have longest to go, within a fifth of a second; up to eight of their
+  // machines hang.
+  void cancel_now(size_t jobs, double hang_s);
+  void odd_requests(double s);
+  // The last task of a job has ended.
+  void ended(const std::string& id);
   double last_answer = 0;
 
   // Gangs.
@@ -288,11 +311,21 @@
   void try_submit(const std::string& id, double started);
   void try_abort(const std::string& id);
   void poll(const std::string& id);
+  void odd_request();
+  // One request about a job, sent once; its answer is checked like any other.
+  void ask_once(const std::string& verb, const JobSpec& spec);
+  void heard(const std::string& id, const std::string& answer, bool cancel_asked);
   SimNode* any_node(size_t& index);
   // When what arrives or is answered at a place is looked at: now, but for a node that stands
   // still.
   double awake_at(const std::string& place) const;
+  // The cut that keeps two places apart now.
+  const Cut* cut_between(const std::string& a, const std::string& b) const;
+  std::string zone_of(const std::string& place) const;
+  bool is_command(const std::string& from, const std::string& to) const;
   std::map<std::pair<std::string, std::string>, Cut> cuts_;
+  std::map<std::string, Cut> zone_cuts_;
+  std::map<std::string, double> refused_;
   uint64_t next_machine_ = 0, steps_ = 0;
   double sent_at_ = 0, next_look_ = 0;
 };
