--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -366,6 +366,160 @@
   EXPECT_TRUE(broken("started_cancelled"));
 }
 
+// The stand-ins bring about the troubles that the scenarios name.
+class CheckerStandInsTest : public CheckerOnMachinesTest {
+ protected:
+  // What became of a message: when it was served and when its answer came; negative: not at all.
+  struct Message {
+    double served = -1, answered = -1;
+  };
+  std::shared_ptr<Message> send(const std::string& from, const std::string& to, double timeout) {
+    auto m = std::make_shared<Message>();
+    world.call(
+        from, to, timeout, [this, m] { m->served = world.clock.now; },
+        [this, m](bool ok) {
+          if (ok) m->answered = world.clock.now;
+        });
+    return m;
+  }
+  ledger::Transaction write(const std::string& key, const std::string& value) {
+    ledger::Transaction t;
+    t.changes = {{key, false, {{"v", value}}, 0}};
+    return t;
+  }
+};
+
+TEST_F(CheckerStandInsTest, LateWritesAreCarriedOutAfterNewerOnes) {
+  world.store.outage = false;
+  world.late_writes = 1;
+  bool answered = true;
+  world.call(
+      "users", "state", 1, [this] { world.store.commit(write("k", "old")); },
+      [&](bool ok) { answered = ok; });
+  world.clock.run(6.5);
+  EXPECT_FALSE(answered);
+  world.late_writes = 0;
+  world.store.commit(write("k", "new"));
+  EXPECT_EQ(world.store.get("k")->value.at("v"), "new");
+  world.clock.run(18);
+  EXPECT_EQ(world.store.get("k")->value.at("v"), "old");
+}
+
+TEST_F(CheckerStandInsTest, OneIsRefusedAndOthersAreServed) {
+  world.store.outage = false;
+  world.refuse("n0", 10);
+  ledger::Outcome mine{}, other{};
+  const auto commit = [&](const std::string& from, ledger::Outcome& o) {
+    world.call(
+        from, "state", 1, [&] { o = world.store.commit(write("k", from)).outcome; }, [](bool) {});
+  };
+  commit("n0", mine);
+  commit("users", other);
+  world.clock.run(6);
+  EXPECT_EQ(mine, ledger::Outcome::refused);
+  EXPECT_EQ(other, ledger::Outcome::applied);
+  EXPECT_FALSE(world.store.outage);
+  world.clock.run(16);
+  commit("n0", mine);
+  world.clock.run(17);
+  EXPECT_EQ(mine, ledger::Outcome::applied);
+}
+
+TEST_F(CheckerStandInsTest, HeldCommandsOrAnswersGoOn) {
+  world.hold_commands = 1;
+  world.hold_commands_s = 8;
+  int late_service = 0, late_answers = 0;
+  std::vector<std::shared_ptr<Message>> sent;
+  for (int i = 0; i < 20; ++i) sent.push_back(send("n0", machine->name, 60));
+  const auto other = send("n0", "users", 60);
+  world.clock.run(30);
+  for (const auto& m : sent) {
+    ASSERT_GE(m->answered, 0);
+    late_service += m->served > 6;
+    late_answers += m->served < 5.1 && m->answered > 6;
+  }
+  EXPECT_GT(late_service, 2);
+  EXPECT_GT(late_answers, 2);
+  EXPECT_LT(other->answered, 5.1);
+}
+
+TEST_F(CheckerStandInsTest, TheStateServiceAnswersSlowly) {
+  world.slow_state_s = 4;
+  double latest = 0;
+  std::vector<std::shared_ptr<Message>> sent;
+  for (int i = 0; i < 20; ++i) sent.push_back(send("users", "state", 60));
+  world.clock.run(30);
+  for (const auto& m : sent) latest = std::max(latest, m->answered);
+  EXPECT_GT(latest, 7);
+  EXPECT_LT(latest, 9.1);
+}
+
+TEST_F(CheckerStandInsTest, AMuteMachineHearsCommandsAndItsLeaseRunsOut) {
+  machine->mute_until = 60;
+  order();
+  world.clock.run(6);
+  EXPECT_EQ(machine->tasks.size(), 1u);
+  world.clock.run(30);
+  EXPECT_TRUE(machine->tasks.empty());
+}
+
+TEST_F(CheckerStandInsTest, ACutZoneHearsItselfAlone) {
+  world.cut_zone("a", 10, false);
+  const auto inside = send("n0", machine->name, 1), state = send("n0", "state", 1),
+             users = send("users", "n0", 1), outside = send("users", "state", 1);
+  world.clock.run(7);
+  EXPECT_GE(inside->answered, 0);
+  EXPECT_LT(state->served, 0);
+  EXPECT_LT(users->served, 0);
+  EXPECT_GE(outside->answered, 0);
+  world.clock.run(16);
+  const auto after = send("n0", "state", 1);
+  world.clock.run(17);
+  EXPECT_GE(after->answered, 0);
+}
+
+// With nobody to answer, what users cancel is only asked for; that is what is looked at here.
+TEST_F(CheckerStandInsTest, UsersCancelWhatHasLongestToGo) {
+  World::UserJob& shorter = world.jobs["wk-000002"];
+  shorter.spec = job("wk-000002");
+  shorter.run_s = 50;
+  world.checker.submitted(0, shorter.spec);
+  order();
+  machine->direct(1, 1, {{Verb::run, "wk-000002", 0, 2, 0}});
+  world.clock.run(6);
+  world.cancel_now(1, 5);
+  EXPECT_TRUE(machine->hung);
+  world.clock.run(6.3);
+  EXPECT_TRUE(world.jobs["wk-000001"].abort_asked);
+  EXPECT_FALSE(world.jobs["wk-000002"].abort_asked);
+}
+
+TEST_F(CheckerStandInsTest, UsersCancelAtTheLastTasksEnd) {
+  World::UserJob& j = world.jobs["wk-000001"];
+  j.run_s = 2;
+  world.cancel_at_end = 1;
+  order();
+  world.clock.run(9);
+  EXPECT_EQ(j.done.size(), 1u);
+  EXPECT_FALSE(j.abort_asked) << "one of two has ended";
+  machine->direct(1, 1, {{Verb::run, "wk-000001", 1, 2, 0}});
+  world.clock.run(12);
+  EXPECT_TRUE(j.abort_asked);
+}
+
+// A leader that answers: nothing that users do oddly changes what they are told.
+TEST_F(CheckerStandInsTest, OddRequestsAreAnswered) {
+  world.store.outage = false;
+  JobSpec s = job("wk-000003");
+  s.tasks = 1;
+  world.submit(s, 5, false);
+  world.odd_requests(60);
+  world.clock.run(70);
+  EXPECT_EQ(world.jobs["wk-000003"].told, "done");
+  EXPECT_TRUE(world.jobs["wk-000003"].abort_asked) << "they cancel what is done";
+  EXPECT_TRUE(world.checker.broken().empty());
+}
+
 TEST_F(CheckerTest, Forgotten) {
   checker.told(1, "wk-000001", "404", false);  // not accepted yet
   EXPECT_FALSE(checker.is_broken("forgotten"));
