--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -327,6 +327,23 @@
   Worker* machine = nullptr;
 };
 
+TEST_F(CheckerOnMachinesTest, AJobWaitsBesideAnEmptyMachine) {
+  world.checker.troubles_over = 10;
+  world.checker.told(5, "wk-000001", "pending", false);
+  world.clock.run(95);
+  EXPECT_FALSE(broken("left_waiting"));
+  world.clock.run(110);
+  EXPECT_TRUE(broken("left_waiting"));
+}
+
+TEST_F(CheckerOnMachinesTest, AJobWaitsBesideAHungMachine) {
+  world.checker.troubles_over = 10;
+  world.checker.told(5, "wk-000001", "pending", false);
+  machine->hang(200);
+  world.clock.run(200);
+  EXPECT_FALSE(broken("left_waiting"));
+}
+
 TEST_F(CheckerOnMachinesTest, GoesOnAfterAHang) {
   order();
   world.clock.run(6);
