--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -12,6 +12,7 @@
 constexpr double kMaxDoubt = 60;
 constexpr double kFreshHorizon = 3;
 constexpr double kWire = 0.005;
+constexpr double kLook = 5;  // how often the checker is told about room, in seconds
 }  // namespace
 
 // ---------------------------------------------------------------- time
@@ -29,6 +30,14 @@
 // ---------------------------------------------------------------- state service
 
 ledger::Result Store::commit(const ledger::Transaction& t) {
+  const double late = outage ? -1 : lateness();
+  if (late < 0) return apply(t);
+  unanswered = true;
+  clock_.after(late, [this, t] { apply(t); });
+  return {};
+}
+
+ledger::Result Store::apply(const ledger::Transaction& t) {
   ledger::Result r;
   if (outage) {
     r.outcome = Outcome::refused;
@@ -148,7 +157,7 @@
     hung = false;
     if (w_.clock.now - lease_from_ > w_.settings.lease_s) session_over();
     in_flight_ = false;
-    for (const Held& h : held_) direct(h.token, h.session, h.orders);
+    for (const Held& h : held_) carry_out(h);
     held_.clear();
     next_in(0.01);
   });
@@ -205,6 +214,13 @@
   const double sent = w_.clock.now;
   last_sent_ = sent;
   const uint64_t session = session_;
+  if (w_.clock.now < mute_until) {  // it cannot even connect
+    w_.clock.after(kWire, [this, session, sent] {
+      in_flight_ = false;
+      if (!gone && !hung) answered(sent, session, 0, 0, {}, "", -1);
+    });
+    return;
+  }
   const Report r = make_report();
   if (w_.chance() < w_.late_copies)
     w_.clock.after(w_.late_copies_s * w_.chance(), [this, r] {
@@ -213,28 +229,32 @@
     });
   auto got = std::make_shared<SimNode::ReportAnswer>();
   auto served = std::make_shared<bool>(false);
+  auto ordered_at = std::make_shared<double>(-1);
   const size_t node = node_;
   w_.call(
       name, "n" + std::to_string(node), 4,
-      [this, r, got, served, node] {
+      [this, r, got, served, node, ordered_at] {
         auto a = w_.nodes[node]->on_report(r);
-        if (!*served) *got = a;
+        if (*served) return;
+        *got = a;
+        *ordered_at = w_.clock.now;
         *served = true;
       },
-      [this, got, served, sent, session](bool ok) {
+      [this, got, served, sent, session, ordered_at](bool ok) {
         if (gone) return;
         ok = ok && w_.clock.now >= deaf_until;
         in_flight_ = false;
         if (hung) return;
         if (!ok)
-          answered(sent, session, 0, 0, {}, "");
+          answered(sent, session, 0, 0, {}, "", -1);
         else
-          answered(sent, session, got->status, got->token, got->orders, got->leader);
+          answered(sent, session, got->status, got->token, got->orders, got->leader, *ordered_at);
       });
 }
 
 void Worker::answered(double sent, uint64_t session, int status, uint64_t token,
-                      const std::vector<Order>& orders, const std::string& leader) {
+                      const std::vector<Order>& orders, const std::string& leader,
+                      double ordered_at) {
   if (session != session_) {
     next_in(0.1);
     return;
@@ -243,7 +263,7 @@
     if (token >= token_) {
       token_ = token;
       lease_from_ = sent;
-      execute(orders);
+      execute(orders, ordered_at);
     }
     const double base = w_.settings.report_s;
     const double gap = base * (0.75 + 0.5 * w_.chance());
@@ -265,12 +285,13 @@
 
 void Worker::on_machine(const std::string& job, uint32_t task, bool is) {
   if (is)
-    w_.checker.starts(w_.clock.now, job, task, {name, type.name, zone, spot});
+    w_.checker.starts(w_.clock.now, job, task, {name, type.name, zone, spot},
+                      tasks.at({job, task}).ordered_at);
   else
     w_.checker.leaves(job, task, name);
 }
 
-void Worker::execute(const std::vector<Order>& orders) {
+void Worker::execute(const std::vector<Order>& orders, double ordered_at) {
   for (const Order& o : orders) {
     const auto key = std::make_pair(o.job, o.task);
     auto it = tasks.find(key);
@@ -279,6 +300,7 @@
         if (it != tasks.end() && it->second.attempt == o.attempt) break;
         Task t;
         t.attempt = o.attempt;
+        t.ordered_at = ordered_at;
         auto j = w_.jobs.find(o.job);
         if (it != tasks.end()) {
           if (it->second.seen != Seen::exited) break;  // in_use would hide the older one here
@@ -355,17 +377,21 @@
 std::optional<Report> Worker::direct(uint64_t token, uint64_t session,
                                      const std::vector<Order>& orders) {
   if (gone || !up || w_.clock.now < deaf_until) return std::nullopt;
+  const Held h{token, session, orders, w_.sent_at()};
   if (hung) {
-    held_.push_back({token, session, orders});
+    held_.push_back(h);
     return std::nullopt;
   }
-  if (token >= token_ && session == session_) {
-    token_ = token;
-    execute(orders);
-  }
+  carry_out(h);
   return make_report();
 }
 
+void Worker::carry_out(const Held& h) {
+  if (gone || h.token < token_ || h.session != session_) return;
+  token_ = h.token;
+  execute(h.orders, h.ordered_at);
+}
+
 void Worker::begin(const std::string& job, uint32_t task) {
   Task& t = tasks.at({job, task});
   World::UserJob& j = w_.jobs.at(job);
@@ -415,8 +441,9 @@
   }
   World::UserJob& j = w_.jobs.at(job);
   if (why == Cause::done) {
-    j.done.insert(task);
+    const bool fresh = j.done.insert(task).second;
     w_.checker.completed(job, task);
+    if (fresh && j.done.size() == j.spec.tasks) w_.ended(job);
   } else if (was_running && j.spec.shape == Shape::gang && why != Cause::peers) {
     w_.gang_lost(job, attempt);
   }
@@ -938,7 +965,10 @@
       settings(std::move(s)),
       types(std::move(t)),
       random(seed),
-      checker(settings.teams, settings.cancel_s) {
+      checker(settings.teams, settings.cancel_s, types) {
+  store.lateness = [this] {
+    return late_writes > 0 && chance() < late_writes ? 2 + 10 * chance() : -1.0;
+  };
   for (size_t i = 0; i < n; ++i) nodes.push_back(std::make_unique<SimNode>(*this, i));
   for (const TypeInfo& ti : types)
     for (const std::string& z : ti.zones) {
@@ -954,22 +984,73 @@
 
 void World::tick() {
   checker.tick(clock.now);
+  if (clock.now >= std::max(checker.troubles_over, next_look_)) {
+    next_look_ = clock.now + kLook;
+    look_for_room();
+  }
   clock.after(0.5, [this] { tick(); });
 }
 
+void World::look_for_room() {
+  std::vector<Room> rooms;
+  std::map<std::string, size_t> held;
+  for (const auto& [n, w] : workers) {
+    if (w->gone || !w->up) continue;
+    Amounts free = w->type.size;
+    for (const auto& [k, t] : w->tasks) {
+      if (t.seen == Seen::exited) continue;
+      free -= jobs.at(k.first).spec.each;
+      ++held[k.first];
+    }
+    // One that hangs, fails its tasks or is about to be taken has no room for anybody.
+    if (!w->hung && !w->sick && w->recall_at_ < 0)
+      rooms.push_back({w->type.name, w->zone, w->spot, free});
+  }
+  checker.rooms(clock.now, rooms, held);
+}
+
 void World::cut(const std::string& a, const std::string& b, double s, bool hold) {
   cuts_[{a, b}] = cuts_[{b, a}] = {clock.now + s, hold};
 }
 
+void World::cut_zone(const std::string& zone, double s, bool hold) {
+  zone_cuts_[zone] = {clock.now + s, hold};
+}
+
+std::string World::zone_of(const std::string& place) const {
+  if (auto w = workers.find(place); w != workers.end()) return w->second->zone;
+  if (place[0] != 'n' || place.size() > 3 || settings.zones.empty()) return "";
+  return settings.zones[std::stoul(place.substr(1)) % settings.zones.size()];
+}
+
+bool World::is_command(const std::string& from, const std::string& to) const {
+  return from[0] == 'n' && workers.count(to);
+}
+
+const Cut* World::cut_between(const std::string& a, const std::string& b) const {
+  for (const auto& key : {std::make_pair(a, b), std::make_pair(a, std::string("*")),
+                          std::make_pair(std::string("*"), b)}) {
+    auto it = cuts_.find(key);
+    if (it != cuts_.end() && clock.now < it->second.until) return &it->second;
+  }
+  for (const auto& [zone, c] : zone_cuts_)
+    if (clock.now < c.until && (zone_of(a) == zone) != (zone_of(b) == zone)) return &c;
+  return nullptr;
+}
+
 void World::call(const std::string& from, const std::string& to, double timeout,
-                 std::function<void()> serve, std::function<void(bool)> done) {
-  auto open = [this](const std::string& a, const std::string& b) -> Cut* {
-    for (const auto& key : {std::make_pair(a, b), std::make_pair(a, std::string("*")),
-                            std::make_pair(std::string("*"), b)}) {
-      auto it = cuts_.find(key);
-      if (it != cuts_.end() && clock.now < it->second.until) return &it->second;
-    }
-    return nullptr;
+                 std::function<void()> served, std::function<void(bool)> done) {
+  const bool to_state = to == "state";
+  const auto serve = [this, served, from, to_state, sent = clock.now] {
+    sent_at_ = sent;
+    store.unanswered = false;
+    // One that is refused alone sees what all see in an outage: its request is not carried out.
+    auto refused = refused_.find(from);
+    const bool refuses = to_state && refused != refused_.end() && clock.now < refused->second;
+    const bool outage = store.outage;
+    store.outage = outage || refuses;
+    served();
+    store.outage = outage;
   };
   auto settled = std::make_shared<bool>(false);
   auto settle = [settled, done](bool ok) {
@@ -984,17 +1065,25 @@
       settle(ok);
   };
   clock.after(timeout, [finish] { finish(false); });
-  const double lag = kWire + (chance() < slow ? 2.5 * chance() : 0);
+  double lag = kWire + (chance() < slow ? 2.5 * chance() : 0), back = kWire;
+  if (to_state && slow_state_s > 0) {
+    const double whole = slow_state_s * chance(), there = chance();
+    lag += whole * there;
+    back += whole * (1 - there);
+  }
+  if (hold_commands > 0 && is_command(from, to) && chance() < hold_commands)
+    (chance() < 0.5 ? lag : back) += hold_commands_s * chance();
   // What runs at the far end runs only while there is somebody.
   auto there = [this, to] {
     if (to[0] == 'n' && to.size() <= 3) return nodes[std::stoul(to.substr(1))]->alive;
     return true;
   };
-  const auto answer = [this, from, to, serve, finish, there, open] {
+  const auto answer = [this, from, to, to_state, serve, finish, there, back] {
     if (!there()) return;
     serve();
-    if (open(from, to) || chance() < lose) return;  // the answer is lost
-    clock.after(kWire, [finish] { finish(true); });
+    if (to_state && store.unanswered) return;
+    if (cut_between(from, to) || chance() < lose) return;  // the answer is lost
+    clock.after(back, [finish] { finish(true); });
   };
   // At a place that stands still it is read later, whether or not anybody still waits for it.
   auto arrive = [this, to, answer] {
@@ -1003,7 +1092,7 @@
     else
       answer();
   };
-  if (Cut* c = open(from, to)) {
+  if (const Cut* c = cut_between(from, to)) {
     if (c->hold)
       clock.at(c->until + 0.01, [serve, there] {
         if (there()) serve();
@@ -1106,6 +1195,7 @@
   j.run_s = run_s;
   j.faulty = faulty;
   checker.submitted(clock.now, spec);
+  if (faulty) checker.fails_by_itself(spec.id);
   try_submit(spec.id, clock.now);
 }
 
@@ -1190,6 +1280,91 @@
         [this, n, id, got] { n->user("abort", jobs[id].spec, got); }, [](bool) {});
 }
 
+void World::cancel_now(size_t count, double hang_s) {
+  std::map<std::string, double> left;  // what runs, and how long its longest task still takes
+  std::map<std::string, std::vector<Worker*>> on;
+  for (auto& [n, w] : workers)
+    for (auto& [k, t] : w->tasks) {
+      const UserJob& j = jobs.at(k.first);
+      if (t.seen != Seen::running || j.abort_asked) continue;
+      auto progress = j.progress.find(k.second);
+      const double made = progress == j.progress.end() ? 0 : progress->second;
+      double& most = left[k.first];
+      most = std::max(most, j.run_s - made - (clock.now - t.began));
+      on[k.first].push_back(w.get());
+    }
+  std::vector<std::pair<double, std::string>> longest;
+  for (const auto& [id, s] : left) longest.emplace_back(s, id);
+  std::sort(longest.rbegin(), longest.rend());
+  size_t may_hang = hang_s > 0 ? 8 : 0;
+  for (size_t i = 0; i < longest.size() && i < count; ++i) {
+    const std::string& id = longest[i].second;
+    clock.after(0.2 * chance(), [this, id] { abort(id); });
+    for (Worker* w : on[id]) {
+      if (may_hang == 0 || w->hung) continue;
+      --may_hang;
+      w->hang(hang_s);
+    }
+  }
+}
+
+void World::ended(const std::string& id) {
+  if (cancel_at_end > 0 && chance() < cancel_at_end) abort(id);
+  if (clock.now >= odd_until) return;
+  ask_once("submit", jobs.at(id).spec);
+  ask_once("poll", jobs.at(id).spec);
+}
+
+void World::odd_requests(double s) {
+  odd_until = clock.now + s;
+  odd_request();
+}
+
+void World::odd_request() {
+  if (clock.now >= odd_until) return;
+  std::vector<std::string> open, done;
+  for (const auto& [id, j] : jobs) {
+    if (j.told == "pending" || j.told == "running") open.push_back(id);
+    if (j.told == "done") done.push_back(id);
+  }
+  if (!open.empty()) ask_once("submit", jobs.at(open[random() % open.size()]).spec);
+  if (!done.empty()) {
+    UserJob& j = jobs.at(done[random() % done.size()]);
+    j.abort_asked = true;
+    ask_once("abort", j.spec);
+  }
+  JobSpec nobody;
+  nobody.id = "wk-999999";
+  ask_once("poll", nobody);
+  clock.after(0.5, [this] { odd_request(); });
+}
+
+void World::ask_once(const std::string& verb, const JobSpec& spec) {
+  size_t i = 0;
+  SimNode* n = any_node(i);
+  if (!n) return;
+  auto answered = std::make_shared<bool>(false);
+  const double sent = clock.now;
+  auto got = [this, verb, id = spec.id, answered, sent](const std::string& a) {
+    if (*answered || a.empty() || clock.now - sent > 5) return;
+    *answered = true;
+    heard(id, a, verb == "abort");
+  };
+  call(
+      "users", "n" + std::to_string(i), 5, [n, verb, spec, got] { n->user(verb, spec, got); },
+      [](bool) {});
+}
+
+void World::heard(const std::string& id, const std::string& a, bool cancel_asked) {
+  auto it = jobs.find(id);
+  checker.told(clock.now, id, a, cancel_asked || (it != jobs.end() && it->second.abort_asked));
+  if (it == jobs.end()) return;
+  UserJob& j = it->second;
+  j.told = a;
+  if (a == "done" && j.done_at < 0) j.done_at = clock.now;
+  if (a == "aborted" && j.aborted_at < 0) j.aborted_at = clock.now;
+}
+
 void World::gathered(const std::string& id, uint64_t attempt) {
   UserJob& j = jobs.at(id);
   std::vector<std::pair<Worker*, uint32_t>> members;
