Ledger: rows of any shape are passed over with a log line and never end a leader

Counts below 0 or beyond any job, NaN, ranges without end, attempts of tasks that a job does not have, a leader label that is no text, and keys without a number ended or misled a controller. A report of an unknown type no longer takes away what the cloud said. All new tests were seen to fail before: Ledger.AJobRowWithAWrongValueIsNotRead, Ledger.APageWithAWrongValueIsNotRead, Ledger.TypesWithAWrongValueAreNotRead, Mirror.RowsOfAnyShapeAreOutlived, Core.APageThatIsOutOfRangeOfItsJobIsNotBelieved, Core.APageThatCannotBeReadDoesNotEndALeader, Core.AReportOfAnUnknownTypeIsOutlived.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -143,7 +143,13 @@
   std::sort(job.start_within.begin(), job.start_within.end());
   job.pages.assign((job.tasks() + job.per - 1) / job.per, kNone);
   for (const auto& [n, c] : row.chunks) {
-    if (n >= job.pages.size()) continue;
+    if (n >= job.pages.size()) {
+      spdlog::error("ledger: job {} has no chunk {}", id, n);
+      continue;
+    }
+    // Tasks that are not this chunk's, and a second attempt of one, are passed over.
+    const uint32_t from = n * job.per, to = from + job.chunk_tasks(n);
+    size_t strange = 0;
     job.pages[n] = c.page;
     if (c.page >= pages_.size()) pages_.resize(c.page + 1);
     pages_[c.page].members.insert({i, n});
@@ -151,8 +157,17 @@
     pages_[c.page].reserved += job.chunk_bytes(n);
     job.top = std::max(job.top, c.chunk.top);
     for (const auto& [a, b] : c.chunk.done.ranges())
-      for (uint32_t t = a; t <= b; ++t) job.done.add(t);
+      for (uint32_t t = a; t <= b; ++t) {
+        if (t >= from && t < to)
+          job.done.add(t);
+        else
+          ++strange;
+      }
     for (const ledger::Live& l : c.chunk.live) {
+      if (l.task < from || l.task >= to || job.attempts.count(l.task)) {
+        ++strange;
+        continue;
+      }
       // Invariant 3: what a predecessor committed may run or may yet be ordered by it; it counts
       // as being there until its machine proves otherwise.
       Machine& m = machine(l.machine, now);
@@ -169,6 +184,8 @@
       m.used += job.spec.each;
       team_used_[job.team] += job.spec.each;
     }
+    if (strange > 0)
+      spdlog::error("ledger: chunk {} of job {}: {} entries are not of its tasks", n, id, strange);
   }
   job.done_count = job.done.count();
   for (const TypeInfo& t : types_)
@@ -628,7 +645,7 @@
         if (applied)
           fleet_stamps_[c.key] = r.revision;
         else
-          fleet_dirty_.insert(ledger::fleet_row(c.key));
+          fleet_dirty_.insert(ledger::fleet_row(c.key).value());
       }
       break;
   }
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -512,15 +512,20 @@
 // The rented list as a predecessor left it.
 void Core::load_fleet(const Mirror& mirror, double now) {
   for (const auto& [key, row] : mirror.fleet()) {
+    const auto n = ledger::fleet_row(key);
+    if (!n) continue;
     fleet_stamps_[key] = row.first;
-    fleet_dirty_.insert(ledger::fleet_row(key));
-    if (!row.second.contains("machines") || !row.second["machines"].is_array()) continue;
+    fleet_dirty_.insert(*n);
+    if (!row.second.contains("machines") || !row.second["machines"].is_array()) {
+      spdlog::error("ledger: row {} cannot be read", key);
+      continue;
+    }
     for (const json& e : row.second["machines"]) {
       if (!e.is_array() || e.size() < 4 || !e[0].is_string() || !e[1].is_string() ||
           !e[2].is_boolean() || !e[3].is_array())
         continue;
       for (const json& name : e[3]) {
-        if (!name.is_string()) continue;
+        if (!name.is_string() || name.get_ref<const std::string&>().empty()) continue;
         Machine& m = machine(name.get<std::string>(), now);
         m.type = type_names_.find(e[0].get<std::string>());
         m.zone = zone_names_.intern(e[1].get<std::string>());
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -1,14 +1,21 @@
 #include "core/ledger.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <exception>
 
 namespace rookdyke::ledger {
 
 std::string job_key(const std::string& job) { return kJobPrefix + job; }
 std::string page_key(uint32_t n) { return kTaskPrefix + std::to_string(n); }
 std::string fleet_key(uint32_t n) { return kFleetPrefix + std::to_string(n); }
-uint32_t fleet_row(const std::string& key) {
-  return static_cast<uint32_t>(std::stoul(key.substr(key.rfind('/') + 1)));
+std::optional<uint32_t> fleet_row(const std::string& key) {
+  uint32_t n = 0;
+  const char* end = key.data() + key.size();
+  const auto [p, ec] = std::from_chars(key.data() + key.rfind('/') + 1, end, n);
+  if (ec != std::errc() || p != end) return std::nullopt;
+  return n;
 }
 
 void TaskSet::add(uint32_t task) {
@@ -90,6 +97,51 @@
 
 namespace {
 
+constexpr double kMostAmount = 1e12;
+
+// The library turns -1 into a huge count, true into 1 and 2.5 into 2, and takes NaN for an amount;
+// these take nothing but what encode() writes.
+struct Unreadable : std::exception {};
+
+uint64_t whole(const json& v, uint64_t least, uint64_t most) {
+  if (!v.is_number_integer()) throw Unreadable();
+  if (!v.is_number_unsigned() && v.get<int64_t>() < 0) throw Unreadable();
+  const auto n = v.get<uint64_t>();
+  if (n < least || n > most) throw Unreadable();
+  return n;
+}
+uint32_t task_number(const json& v) { return static_cast<uint32_t>(whole(v, 0, kMostTasks - 1)); }
+
+double amount(const json& v) {
+  if (!v.is_number()) throw Unreadable();
+  const double d = v.get<double>();
+  if (!std::isfinite(d) || d < 0 || d > kMostAmount) throw Unreadable();
+  return d;
+}
+
+std::string name(const json& v) {
+  auto s = v.get<std::string>();
+  if (s.empty()) throw Unreadable();
+  return s;
+}
+
+const json& list(const json& v) {
+  if (!v.is_array()) throw Unreadable();
+  return v;
+}
+
+// Closed ranges in order, none touching another.
+TaskSet task_set(const json& v) {
+  if (list(v).size() % 2 != 0) throw Unreadable();
+  uint64_t next = 0;
+  for (size_t i = 0; i < v.size(); i += 2) {
+    const uint32_t a = task_number(v[i]), b = task_number(v[i + 1]);
+    if (a < next || b < a) throw Unreadable();
+    next = uint64_t{b} + 1;
+  }
+  return TaskSet::decode(v);
+}
+
 json encode_spec(const JobSpec& s) {
   return {{"lot", s.lot},
           {"team", s.team},
@@ -120,19 +172,17 @@
   v.at("image").get_to(s.image);
   v.at("zone").get_to(s.zone);
   s.shape = v.at("gang").get<bool>() ? Shape::gang : Shape::array;
-  s.rank = static_cast<Rank>(std::clamp(v.at("rank").get<int>(), 0, 3));
-  v.at("cpus").get_to(s.each.cpus);
-  v.at("gpus").get_to(s.each.gpus);
-  v.at("mem").get_to(s.each.mem);
-  v.at("image_gb").get_to(s.image_gb);
+  s.rank = static_cast<Rank>(whole(v.at("rank"), 0, 3));
+  s.each = {amount(v.at("cpus")), amount(v.at("gpus")), amount(v.at("mem"))};
+  s.image_gb = amount(v.at("image_gb"));
   v.at("types").get_to(s.types);
   v.at("one_zone").get_to(s.one_zone);
   v.at("scatter").get_to(s.scatter);
   v.at("spot").get_to(s.spot);
-  v.at("estimate").get_to(s.estimate_s);
-  v.at("checkpoint").get_to(s.checkpoint_s);
-  v.at("save").get_to(s.save_s);
-  v.at("due").get_to(s.due_s);
+  s.estimate_s = amount(v.at("estimate"));
+  s.checkpoint_s = amount(v.at("checkpoint"));
+  s.save_s = amount(v.at("save"));
+  s.due_s = amount(v.at("due"));
   return s;
 }
 
@@ -153,15 +203,15 @@
 std::optional<JobRow> decode_job(const std::string& id, const json& v) {
   try {
     JobRow row;
-    row.standing = static_cast<Standing>(std::clamp(v.at("standing").get<int>(), 0, 2));
-    v.at("tasks").get_to(row.tasks);
-    row.per = v.value("per", 0u);
-    row.at_s = v.value("at", 0.0);
+    row.standing = static_cast<Standing>(whole(v.at("standing"), 0, 2));
+    row.tasks = static_cast<uint32_t>(whole(v.at("tasks"), 1, kMostTasks));
+    if (v.contains("per")) row.per = static_cast<uint32_t>(whole(v.at("per"), 0, kMostTasks));
+    if (v.contains("at")) row.at_s = amount(v.at("at"));
     row.mark = v.value("w", "");
     if (v.contains("spec")) row.spec = decode_spec(id, row.tasks, v.at("spec"));
     if (row.standing == Standing::open && (!row.spec || row.per == 0)) return std::nullopt;
     return row;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
@@ -181,21 +231,21 @@
 std::optional<Page> decode_page(const json& v) {
   try {
     Page p;
-    for (const json& e : v.at("e")) {
+    for (const json& e : list(v.at("e"))) {
       PageEntry out;
-      e.at(0).get_to(out.job);
-      e.at(1).get_to(out.n);
-      e.at(2).get_to(out.chunk.top);
-      out.chunk.done = TaskSet::decode(e.at(3));
-      out.chunk.live.reserve(e.at(4).size());
+      out.job = name(e.at(0));
+      out.n = task_number(e.at(1));
+      out.chunk.top = whole(e.at(2), 0, kMostAttempts);
+      out.chunk.done = task_set(e.at(3));
+      out.chunk.live.reserve(list(e.at(4)).size());
       for (const json& l : e.at(4))
-        out.chunk.live.push_back({l.at(0).get<uint32_t>(), l.at(1).get<uint64_t>(),
-                                  l.at(2).get<std::string>(), l.at(3).get<uint64_t>()});
+        out.chunk.live.push_back({task_number(l.at(0)), whole(l.at(1), 0, kMostAttempts),
+                                  name(l.at(2)), whole(l.at(3), 0, UINT64_MAX)});
       p.entries.push_back(std::move(out));
     }
     p.mark = v.value("w", "");
     return p;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
@@ -219,21 +269,20 @@
 std::vector<TypeInfo> decode_types(const json& v) {
   std::vector<TypeInfo> out;
   try {
-    for (const json& t : v.at("types")) {
+    for (const json& t : list(v.at("types"))) {
       TypeInfo i;
-      t.at("name").get_to(i.name);
-      t.at("cpus").get_to(i.size.cpus);
-      t.at("gpus").get_to(i.size.gpus);
-      t.at("mem").get_to(i.size.mem);
-      t.at("cache_gb").get_to(i.cache_gb);
-      t.at("fetch").get_to(i.fetch_gb_per_s);
-      t.at("price").get_to(i.price);
-      t.at("spot_price").get_to(i.spot_price);
-      t.at("boot_s").get_to(i.boot_s);
+      i.name = name(t.at("name"));
+      i.size = {amount(t.at("cpus")), amount(t.at("gpus")), amount(t.at("mem"))};
+      i.cache_gb = amount(t.at("cache_gb"));
+      i.fetch_gb_per_s = amount(t.at("fetch"));
+      i.price = amount(t.at("price"));
+      i.spot_price = amount(t.at("spot_price"));
+      i.boot_s = amount(t.at("boot_s"));
+      if (i.boot_s <= 0 || has_type(out, i.name)) throw Unreadable();
       t.at("zones").get_to(i.zones);
       out.push_back(std::move(i));
     }
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     out.clear();
   }
   return out;
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -35,7 +35,14 @@
 std::string job_key(const std::string& job);
 std::string page_key(uint32_t n);
 std::string fleet_key(uint32_t n);
-uint32_t fleet_row(const std::string& key);  // the n of such a key
+// The n of such a key; empty: it has none.
+std::optional<uint32_t> fleet_row(const std::string& key);
+
+// No job has more tasks, no ledger of ours more pages, and no attempt a higher number: what a row
+// says beyond is not believed, for it would take all memory or time to follow.
+inline constexpr uint32_t kMostTasks = 100'000;
+inline constexpr uint32_t kMostPages = 1 << 17;
+inline constexpr uint64_t kMostAttempts = uint64_t{1} << 53;
 
 // Tasks of a chunk as sorted disjoint closed ranges.
 class TaskSet {
@@ -98,6 +105,7 @@
 
 json encode(const JobRow& row);
 json encode(const Page& page);
+// Empty: it cannot be read, and nothing of it is believed.
 std::optional<JobRow> decode_job(const std::string& id, const json& v);
 std::optional<Page> decode_page(const json& v);
 
--- a/src/core/mirror.cpp
+++ b/src/core/mirror.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 
@@ -16,12 +17,14 @@
 void Mirror::put_page(uint32_t n, const nlohmann::json& value, uint64_t stamp) {
   MirrorPage& page = pages_[n];
   if (stamp <= page.stamp) return;
+  // Whoever writes it next has to know its stamp, also if it cannot be read: a leader whose write
+  // fails on it steps down, and so would all its successors.
+  page.stamp = stamp;
   auto read = ledger::decode_page(value);
   if (!read) {
     spdlog::error("ledger: page {} cannot be read", n);
     return;
   }
-  page.stamp = stamp;
   for (const auto& [id, k] : page.holds)
     if (auto it = jobs_.find(id); it != jobs_.end()) it->second.chunks.erase(k);
   page.holds.clear();
@@ -49,16 +52,27 @@
         std::string_view(key).substr(std::string_view(ledger::kTaskPrefix).size());
     uint32_t n = 0;
     auto [p, ec] = std::from_chars(number.data(), number.data() + number.size(), n);
-    if (ec == std::errc() && p == number.data() + number.size()) put_page(n, value, stamp);
+    if (ec == std::errc() && p == number.data() + number.size() && n < ledger::kMostPages)
+      put_page(n, value, stamp);
+    else
+      spdlog::error("ledger: {} is no page", key);
   } else if (key == ledger::kLeaderKey) {
     if (stamp <= leader_stamp_) return;
     leader_stamp_ = stamp;
-    leader_ = value.is_object() ? value.value("label", "") : "";
+    const auto label = value.is_object() ? value.find("label") : value.end();
+    const bool readable = label != value.end() && label->is_string();
+    if (!readable) spdlog::error("ledger: the leader key cannot be read");
+    leader_ = readable ? label->get<std::string>() : "";
   } else if (key == ledger::kTypesKey) {
     if (stamp <= types_stamp_) return;
     types_stamp_ = stamp;
     types_ = ledger::decode_types(value);
+    if (types_.empty()) spdlog::error("ledger: the machine types cannot be read");
   } else if (starts_with(key, ledger::kFleetPrefix)) {
+    if (!ledger::fleet_row(key)) {
+      spdlog::error("ledger: {} is no row of the rented list", key);
+      return;
+    }
     auto& row = fleet_[key];
     if (stamp > row.first) row = {stamp, value};
   }
@@ -107,6 +121,8 @@
     out.done += c.chunk.done.count();
     if (out.standing == ledger::Standing::open) out.running += c.chunk.live.size();
   }
+  out.done = std::min(out.done, j->row.tasks);  // a page may name tasks that the job does not have
+  out.running = std::min(out.running, j->row.tasks);
   return out;
 }
 
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -38,9 +38,13 @@
 void Core::learn(Machine& m, const Report& r, double now) {
   if (!m.heard) {
     m.addr = r.addr;
-    m.type = type_names_.find(r.type);
-    m.zone = zone_names_.intern(r.zone);
-    m.spot = r.spot;
+    // What the cloud said of it is not given up for a type that nobody knows.
+    const Index type = type_names_.find(r.type);
+    if (type != kNone || m.type == kNone) {
+      m.type = type;
+      m.zone = zone_names_.intern(r.zone);
+      m.spot = r.spot;
+    }
     m.heard = true;
     m.mute = 0;
     m.mute_since = -1;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -86,6 +86,11 @@
   double fetch_s(double gb) const { return gb / std::max(0.01, fetch_gb_per_s); }
 };
 
+// Whether a type of that name is there: a second one would shift the indices of all that follow.
+inline bool has_type(const std::vector<TypeInfo>& types, const std::string& name) {
+  return std::any_of(types.begin(), types.end(), [&](const auto& t) { return t.name == name; });
+}
+
 struct TeamInfo {
   std::string name;
   double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // 0: no guarantee, no limit
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 #include "core/forecast.h"
 #include "core/ledger.h"
 #include "core/mirror.h"
@@ -127,6 +129,180 @@
   EXPECT_FALSE(ledger::decode_job("wk-000001", {{"standing", "open"}}));
 }
 
+// ---- rows of any shape: what cannot be read is passed over, and nothing of it is believed
+
+nlohmann::json open_row() {
+  ledger::JobRow row;
+  row.tasks = 7;
+  row.per = 3;
+  row.spec = JobSpec{};
+  row.spec->team = "t";
+  return ledger::encode(row);
+}
+
+TEST(Ledger, AJobRowWithAWrongValueIsNotRead) {
+  ASSERT_TRUE(ledger::decode_job("wk-000001", open_row()));
+  const std::vector<std::pair<const char*, nlohmann::json>> bad = {
+      {"standing", 9},   {"standing", -1}, {"standing", true}, {"standing", 1.5},
+      {"tasks", -1},     {"tasks", 0},     {"tasks", 100001},  {"tasks", 4294967298},
+      {"tasks", 2.5},    {"tasks", "7"},   {"per", -1},        {"per", 4294967295},
+      {"at", NAN},       {"at", INFINITY}, {"at", "noon"},     {"w", 3},
+      {"spec", nullptr}, {"spec", {1, 2}}, {"per", 0}};
+  for (const auto& [k, v] : bad) {
+    nlohmann::json j = open_row();
+    j[k] = v;
+    EXPECT_FALSE(ledger::decode_job("wk-000001", j)) << k << " = " << v;
+  }
+  const std::vector<std::pair<const char*, nlohmann::json>> bad_spec = {
+      {"cpus", NAN}, {"gpus", -1},   {"mem", INFINITY}, {"mem", 1e300}, {"image_gb", true},
+      {"rank", 7},   {"rank", -1},   {"rank", "idle"},  {"types", 3},   {"types", {1}},
+      {"zone", 1},   {"due", "now"}, {"gang", 1},       {"save", NAN}};
+  for (const auto& [k, v] : bad_spec) {
+    nlohmann::json j = open_row();
+    j["spec"][k] = v;
+    EXPECT_FALSE(ledger::decode_job("wk-000001", j)) << k << " = " << v;
+  }
+  for (const nlohmann::json& v : {nlohmann::json(), nlohmann::json(3), nlohmann::json("x"),
+                                  nlohmann::json::array({1}), nlohmann::json::object()})
+    EXPECT_FALSE(ledger::decode_job("wk-000001", v)) << v;
+}
+
+TEST(Ledger, APageWithAWrongValueIsNotRead) {
+  const auto page = [](const std::string& entry) {
+    return ledger::decode_page(nlohmann::json::parse("{\"e\":[" + entry + "],\"w\":\"x\"}"));
+  };
+  EXPECT_TRUE(page(R"(["wk-000001",0,4,[0,1,5,5],[[2,4,"m-1",1]]])"));
+  for (const char* bad : {R"(["wk-000001",0,4,7,[]])",
+                          R"(["wk-000001",0,4,{"a":1,"b":2},[]])",
+                          R"(["wk-000001",0,4,[1],[]])",
+                          R"(["wk-000001",0,4,[3,1],[]])",
+                          R"(["wk-000001",0,4,[0,4294967295],[]])",
+                          R"(["wk-000001",0,4,[5,6,1,2],[]])",
+                          R"(["wk-000001",0,4,[0,3,2,5],[]])",
+                          R"(["wk-000001",0,4,[-1,1],[]])",
+                          R"(["wk-000001",0,4,[0.5,1],[]])",
+                          R"(["wk-000001",-1,4,[],[]])",
+                          R"(["wk-000001",4294967296,4,[],[]])",
+                          R"(["wk-000001",0,-4,[],[]])",
+                          R"(["wk-000001",0,18446744073709551615,[],[]])",
+                          R"(["wk-000001",0,4,[],{"a":[2,4,"m",1]}])",
+                          R"(["wk-000001",0,4,[],[[2,4,"",1]]])",
+                          R"(["wk-000001",0,4,[],[[-2,4,"m-1",1]]])",
+                          R"(["wk-000001",0,4,[],[[2,4,"m-1"]]])",
+                          R"(["wk-000001",0,4,[],[[100000,4,"m-1",1]]])",
+                          R"(["wk-000001",0,4,[],[[2,18446744073709551615,"m-1",1]]])",
+                          R"(["",0,4,[],[]])",
+                          R"([1,0,4,[],[]])",
+                          R"({"a":1})",
+                          "3"})
+    EXPECT_FALSE(page(bad)) << bad;
+  EXPECT_FALSE(ledger::decode_page({{"e", {{"a", 1}}}}));
+  EXPECT_FALSE(ledger::decode_page({{"e", nlohmann::json::array()}, {"w", 3}}));
+}
+
+TEST(Ledger, TypesWithAWrongValueAreNotRead) {
+  TypeInfo type;
+  type.name = "box";
+  type.size = {16, 4, 64};
+  type.boot_s = 50;
+  type.zones = {"a"};
+  const nlohmann::json good = ledger::encode_types({type});
+  EXPECT_EQ(ledger::decode_types(good).size(), 1u);
+  const std::vector<std::pair<const char*, nlohmann::json>> bad = {
+      {"name", ""},   {"name", 3},         {"cpus", -1},    {"cpus", "16"},       {"mem", NAN},
+      {"gpus", true}, {"price", INFINITY}, {"fetch", -1.0}, {"boot_s", 0},        {"boot_s", NAN},
+      {"zones", "a"}, {"zones", {1}},      {"cpus", 1e300}, {"cache_gb", nullptr}};
+  for (const auto& [k, v] : bad) {
+    nlohmann::json j = good;
+    j["types"][0][k] = v;
+    EXPECT_TRUE(ledger::decode_types(j).empty()) << k << " = " << v;
+  }
+  EXPECT_TRUE(ledger::decode_types(3).empty());
+  EXPECT_TRUE(ledger::decode_types(ledger::encode_types({type, type})).empty());
+}
+
+TEST(Mirror, RowsOfAnyShapeAreOutlived) {
+  const std::vector<nlohmann::json> shapes = {
+      nullptr, 3, -1, 1e300, NAN, "x", true, {1, "a", {}}, {{"label", 3}}, {{"e", 3}}};
+  Mirror m;
+  uint64_t stamp = 0;
+  for (const nlohmann::json& v : shapes)
+    for (const char* key : {"rd/leader", "rd/types", "rd/j/", "rd/j/x", "rd/t/", "rd/t/x", "rd/t/0",
+                            "rd/t/4294967295", "rd/t/99999999999", "rd/f/", "rd/f/x", "rd/f/0",
+                            "rd/f/99999999999999999999", "rd/", ""})
+      EXPECT_NO_THROW(m.put(key, v, ++stamp)) << key << " = " << v;
+  EXPECT_EQ(m.leader(), "");
+  EXPECT_TRUE(m.types().empty());
+  EXPECT_FALSE(m.answer("x"));
+  TypeInfo type;
+  type.name = "box";
+  type.size = {16, 4, 64};
+  Core core(Settings{}, {type}, stamp + 1, 0);
+  EXPECT_NO_THROW(core.load(m, 0));
+  EXPECT_NO_THROW(core.round(1));
+}
+
+// A page that names what its job does not have: that much of it is passed over, the rest counts.
+TEST(Core, APageThatIsOutOfRangeOfItsJobIsNotBelieved) {
+  Mirror m;
+  m.put("rd/j/wk-000001", open_row(), 3);  // 7 tasks, 3 a chunk
+  m.put("rd/t/0", nlohmann::json::parse(R"({"w":"x","e":[
+          ["wk-000001",0,4,[0,0,50,99999],[[1,4,"m-1",1],[1,4,"m-2",1],[5,4,"m-3",1]]],
+          ["wk-000001",2,4,[],[[6,2,"m-1",1],[7,3,"m-2",1],[99999,3,"m-2",1]]],
+          ["wk-000001",9,4,[],[[2,3,"m-2",1]]]]})"),
+        4);
+  EXPECT_LE(m.answer("wk-000001")->done, 7u);
+  Settings settings;
+  settings.teams = {{"t", 0, 0, 0, 0}};
+  TypeInfo type;
+  type.name = "box";
+  type.size = {16, 4, 64};
+  type.zones = {"a"};
+  Core core(settings, {type}, 7, 0);
+  core.load(m, 0);
+  const Job* job = core.find_job("wk-000001");
+  ASSERT_TRUE(job);
+  EXPECT_EQ(job->done_count, 1u);
+  ASSERT_EQ(job->attempts.size(), 2u);
+  EXPECT_TRUE(job->attempts.count(1) && job->attempts.count(6));
+  EXPECT_EQ(job->waiting, (std::set<uint32_t>{2, 3, 4, 5}));
+  size_t held = 0;
+  for (const auto& machine : core.machines()) held += machine->tasks.size();
+  EXPECT_EQ(held, 2u);
+}
+
+// A row that cannot be read keeps its revision: the leader that writes the page next is not told
+// that the ledger is not as it left it, which would end one leader after the other.
+TEST(Core, APageThatCannotBeReadDoesNotEndALeader) {
+  Mirror m;
+  m.put("rd/j/wk-000001", open_row(), 3);
+  m.put("rd/t/0", "noise", 4);
+  Settings settings;
+  settings.zones = {"a"};
+  settings.teams = {{"t", 0, 0, 0, 0}};
+  TypeInfo type;
+  type.name = "box";
+  type.size = {16, 4, 64};
+  type.zones = {"a"};
+  Core core(settings, {type}, 7, 0);
+  core.load(m, 0);
+  Report r;
+  r.machine = "m-1";
+  r.type = "box";
+  r.zone = "a";
+  r.session = r.seq = 1;
+  r.token = 7;
+  core.on_report(r, 1);
+  core.round(1);
+  bool written = false;
+  while (const auto p = core.next_transaction(1)) {
+    if (p->txn.changes.at(0).key != "rd/t/0") continue;
+    written = true;
+    EXPECT_EQ(p->txn.conditions.at(1).stamp, 4u);
+  }
+  EXPECT_TRUE(written);
+}
+
 TEST(Mirror, IgnoresOlderRowsAndForgetsWhatAReloadDoesNotShow) {
   Mirror m;
   ledger::JobRow row;
@@ -276,6 +452,34 @@
   EXPECT_DOUBLE_EQ(core.machines().at(0)->last_report, 2);
 }
 
+// A report of an unknown type or zone neither ends us nor takes a known machine's type away.
+TEST(Core, AReportOfAnUnknownTypeIsOutlived) {
+  Core core = one_zone_core();
+  core.on_machine_list({{"m-2", "h:1", "box", "a", false, ListedMachine::State::running, 10}}, 0,
+                       0);
+  core.on_job_row(one_task(3), "wk-000001", 1);
+  for (const char* machine : {"m-1", "m-2"}) {
+    Report r = report_of_m1();
+    r.machine = machine;
+    r.type = "round";
+    r.zone = "nowhere";
+    r.session = r.seq = 1;
+    r.token = 7;
+    r.tasks = {{"wk-000001", 4000000000u, UINT64_MAX, Seen::running, Cause::none, false}};
+    EXPECT_EQ(core.on_report(r, 1).orders.size(), 1u);
+    r.tasks.clear();
+    ++r.seq;
+    core.on_report(r, 2);
+  }
+  for (int i = 3; i < 20; ++i) {
+    core.round(i);
+    core.next_transaction(i);
+  }
+  EXPECT_EQ(core.machines().at(0)->type, 0u);  // m-2, as the cloud lists it
+  EXPECT_EQ(core.machines().at(1)->type, kNone);
+  EXPECT_TRUE(core.machines().at(1)->tasks.empty());
+}
+
 TEST(States, TerminalStatesAreTerminal) {
   for (const JobState to : {JobState::open, JobState::closing, JobState::done})
     EXPECT_FALSE(allowed(JobState::aborted, to));
