Wire: wrong numbers, names and types are refused, not replaced by a default

A negative revision or token was read as a huge one, a text in place of a size as 0 (and jobs were then answered 422), a list of types without one entry was believed, names that are no UTF-8 were taken.

--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -1,5 +1,7 @@
 #include "wire/wire.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -13,7 +15,10 @@
 constexpr size_t kMaxName = 200;
 constexpr size_t kMaxTypes = 100;
 constexpr double kMaxAmount = 1e12;
-constexpr uint64_t kMaxTasks = 100000;
+constexpr uint64_t kMaxTasks = ledger::kMostTasks;
+// Tokens are revisions of the ledger. One beyond any that can come to be would depose every leader
+// for ever, and leave no higher one.
+constexpr uint64_t kMaxToken = uint64_t{1} << 53;
 
 // Stops a parse at kMaxDepth: the library descends by recursion, and a body of nothing but
 // nested lists would run a connection's small stack over.
@@ -61,7 +66,33 @@
 
 double number_or(const json& j, const char* name, double other) {
   const json* v = field(j, name);
-  return v && v->is_number() ? v->get<double>() : other;
+  return v && v->is_number() && std::isfinite(v->get<double>()) ? v->get<double>() : other;
+}
+
+std::optional<uint64_t> whole(const json& j, const char* name) {
+  const json* v = field(j, name);
+  if (!v || !v->is_number_integer()) return std::nullopt;
+  if (!v->is_number_unsigned() && v->get<int64_t>() < 0) return std::nullopt;
+  return v->get<uint64_t>();
+}
+
+bool is_amount(const json& v) {
+  if (!v.is_number()) return false;
+  const double d = v.get<double>();
+  return std::isfinite(d) && d >= 0 && d <= kMaxAmount;
+}
+
+// A name that can be stored and told on: siblings are told in JSON, which holds UTF-8 alone.
+bool is_name(const json& v) {
+  if (!v.is_string()) return false;
+  const auto& s = v.get_ref<const std::string&>();
+  if (s.empty() || s.size() > kMaxName) return false;
+  try {
+    (void)v.dump();
+  } catch (const json::exception&) {
+    return false;
+  }
+  return true;
 }
 
 bool truth_or(const json& j, const char* name, bool other = false) {
@@ -143,20 +174,17 @@
   error.clear();
   auto name = [&](const char* f, std::string& to) {
     const json* v = field(b, f);
-    if (!v || !v->is_string() || v->get_ref<const std::string&>().empty() ||
-        v->get_ref<const std::string&>().size() > kMaxName)
+    if (!v || !is_name(*v))
       error = f;
     else
       to = v->get<std::string>();
   };
   auto amount = [&](const char* f, double& to) {
     const json* v = field(b, f);
-    if (!v || !v->is_number()) {
+    if (!v || !is_amount(*v))
       error = f;
-      return;
-    }
-    to = v->get<double>();
-    if (!std::isfinite(to) || to < 0 || to > kMaxAmount) error = f;
+    else
+      to = v->get<double>();
   };
   auto flag = [&](const char* f, bool& to) {
     const json* v = field(b, f);
@@ -215,7 +243,7 @@
       error = "breeds";
     } else {
       for (const json& t : *v) {
-        if (!t.is_string() || t.get_ref<const std::string&>().size() > kMaxName)
+        if (!is_name(t))
           error = "breeds";
         else
           s.types.push_back(t.get<std::string>());
@@ -242,15 +270,19 @@
 
 std::optional<Report> parse_report(const json& b) {
   Report r;
-  r.machine = text_or(b, "croft");
-  if (r.machine.empty()) return std::nullopt;
+  const json* machine = field(b, "croft");
+  if (!machine || !is_name(*machine)) return std::nullopt;
+  r.machine = machine->get<std::string>();
   r.addr = text_or(b, "addr");
   r.type = text_or(b, "breed");
   r.zone = text_or(b, "yard");
   r.spot = truth_or(b, "loaners");
-  r.session = whole_or(b, "tenure");
-  r.seq = whole_or(b, "tally");
-  r.token = whole_or(b, "warrant");
+  // Any other number read in place of one of these would prove what it does not.
+  const auto session = whole(b, "tenure"), seq = whole(b, "tally"), token = whole(b, "warrant");
+  if (!session || *session < 1 || !seq || !token || *token > kMaxToken) return std::nullopt;
+  r.session = *session;
+  r.seq = *seq;
+  r.token = *token;
   r.notice_s = number_or(b, "recall_s", -1);
   const json* tasks = field(b, "shifts");
   if (!tasks) return r;
@@ -258,7 +290,9 @@
   for (const json& t : *tasks) {
     TaskReport o;
     if (!split_task(text_or(t, "shift"), o.job, o.task)) return std::nullopt;
-    o.attempt = whole_or(t, "go");
+    const auto attempt = whole(t, "go");
+    if (!attempt) return std::nullopt;
+    o.attempt = *attempt;
     const std::string st = text_or(t, "standing");
     if (st == "pulling")
       o.seen = Seen::pulling;
@@ -311,14 +345,31 @@
   return {{"steward", leader}};
 }
 
+namespace {
+bool is_type(const json& t) {
+  const json* n = field(t, "name");
+  if (!n || !is_name(*n)) return false;
+  for (const char* f : {"cpus", "gpus", "mem_gb"})
+    if (const json* v = field(t, f); !v || !is_amount(*v)) return false;
+  for (const char* f : {"local_gb", "fetch_gb_per_s", "hourly", "low_price", "boot_s"})
+    if (const json* v = field(t, f); v && !is_amount(*v)) return false;
+  const json* zones = field(t, "yards");
+  return zones && zones->is_array() && std::all_of(zones->begin(), zones->end(), is_name);
+}
+}  // namespace
+
 std::optional<std::vector<TypeInfo>> parse_types(const json& b) {
   const json* list = field(b, "breeds");
   if (!list || !list->is_array()) return std::nullopt;
   std::vector<TypeInfo> out;
   for (const json& t : *list) {
+    // One that is read wrongly, or left out, would have jobs refused that can run.
+    if (!is_type(t) || has_type(out, text_or(t, "name"))) {
+      spdlog::error("cloud: the machine types cannot be read");
+      return std::nullopt;
+    }
     TypeInfo i;
     i.name = text_or(t, "name");
-    if (i.name.empty()) continue;
     i.size = {number_or(t, "cpus", 0), number_or(t, "gpus", 0), number_or(t, "mem_gb", 0)};
     i.cache_gb = number_or(t, "local_gb", 0);
     i.fetch_gb_per_s = std::max(1e-3, number_or(t, "fetch_gb_per_s", 1));
@@ -347,7 +398,7 @@
   if (!list || !list->is_array()) return std::nullopt;
   std::vector<std::string> out;
   for (const json& n : *list)
-    if (n.is_string()) out.push_back(n.get<std::string>());
+    if (is_name(n)) out.push_back(n.get<std::string>());
   return out;
 }
 
@@ -366,8 +417,9 @@
   std::vector<ListedMachine> out;
   for (const json& m : *list) {
     ListedMachine l;
-    l.name = text_or(m, "id");
-    if (l.name.empty()) continue;
+    const json* id = field(m, "id");
+    if (!id || !is_name(*id)) continue;
+    l.name = id->get<std::string>();
     l.addr = text_or(m, "addr");
     l.type = text_or(m, "breed");
     l.zone = text_or(m, "yard");
@@ -411,11 +463,7 @@
   return {{"if", std::move(conditions)}, {"then", std::move(changes)}};
 }
 
-std::optional<uint64_t> parse_revision(const json& b) {
-  const json* v = field(b, "ledger");
-  if (!v || !v->is_number_integer()) return std::nullopt;
-  return v->get<uint64_t>();
-}
+std::optional<uint64_t> parse_revision(const json& b) { return whole(b, "ledger"); }
 
 std::vector<std::string> parse_failed(const json& b) {
   std::vector<std::string> out;
@@ -427,11 +475,12 @@
 
 std::optional<Row> parse_row(const json& b) {
   const json* k = field(b, "k");
-  if (!k || !k->is_string()) return std::nullopt;
+  const auto stamp = whole(b, "stamp");
+  if (!k || !k->is_string() || !stamp) return std::nullopt;
   Row r;
   r.key = k->get<std::string>();
   if (const json* v = field(b, "v")) r.value = *v;
-  r.stamp = whole_or(b, "stamp");
+  r.stamp = *stamp;
   return r;
 }
 
@@ -442,8 +491,11 @@
   Rows out;
   out.revision = *revision;
   out.more = truth_or(b, "truncated");
-  for (const json& e : *list)
-    if (auto r = parse_row(e)) out.rows.push_back(std::move(*r));
+  for (const json& e : *list) {
+    auto r = parse_row(e);
+    if (!r) return std::nullopt;  // without it, a job that it holds would be answered 404
+    out.rows.push_back(std::move(*r));
+  }
   return out;
 }
 
@@ -457,7 +509,9 @@
   if (!list->is_array()) return std::nullopt;
   for (const json& e : *list) {
     Row r;
-    r.stamp = whole_or(e, "stamp");
+    const auto stamp = whole(e, "stamp");
+    if (!stamp) return std::nullopt;
+    r.stamp = *stamp;
     if (const json* k = field(e, "write"); k && k->is_string()) {
       r.key = k->get<std::string>();
       if (const json* v = field(e, "v")) r.value = *v;
@@ -474,10 +528,6 @@
 
 json lease(double ttl_s) { return {{"ttl_ms", static_cast<int64_t>(std::lround(ttl_s * 1000))}}; }
 
-std::optional<uint64_t> parse_lease(const json& b) {
-  const json* v = field(b, "tether");
-  if (!v || !v->is_number_integer()) return std::nullopt;
-  return v->get<uint64_t>();
-}
+std::optional<uint64_t> parse_lease(const json& b) { return whole(b, "tether"); }
 
 }  // namespace rookdyke::wire
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -117,6 +117,120 @@
   EXPECT_FALSE(parse_report({{"tenure", 1}}));
 }
 
+json good_report() {
+  return {{"croft", "m-1"},
+          {"addr", "h:1"},
+          {"breed", "g8"},
+          {"yard", "a"},
+          {"loaners", true},
+          {"tenure", 2},
+          {"tally", 88},
+          {"warrant", 41},
+          {"recall_s", 12.5},
+          {"shifts", {{{"shift", "wk-000412/3"}, {"go", 2}, {"standing", "running"}}}}};
+}
+
+// Numbers that a report lacks or has wrong would be taken for a session, a token or a notice.
+TEST(Wire, RefusesBadReports) {
+  ASSERT_TRUE(parse_report(good_report()));
+  const std::vector<std::pair<const char*, json>> bad = {
+      {"croft", ""},           {"croft", std::string(300, 'x')},
+      {"croft", "\xff\xfe"},   {"tenure", "2"},
+      {"tenure", -2},          {"tenure", 0},
+      {"tally", 1.5},          {"warrant", -1},
+      {"warrant", "41"},       {"warrant", 1e300},
+      {"warrant", UINT64_MAX}, {"shifts", "none"},
+      {"shifts", {1}},         {"shifts", {{{"shift", "wk-000412"}}}}};
+  for (const auto& [k, v] : bad) {
+    json j = good_report();
+    j[k] = v;
+    EXPECT_FALSE(parse_report(j)) << k;
+  }
+  for (const json& v : {json(NAN), json(INFINITY), json(-3), json("soon"), json(true)}) {
+    json j = good_report();
+    j["recall_s"] = v;
+    const auto r = parse_report(j);
+    EXPECT_TRUE(!r || r->notice_s < 0) << v;
+  }
+  for (const json& v : {json("3"), json(-1), json(2.5), json()}) {
+    json j = good_report();
+    j["shifts"][0]["go"] = v;
+    EXPECT_FALSE(parse_report(j)) << v;
+  }
+}
+
+// What a job says may be shown to siblings as JSON, which holds no other text than UTF-8.
+TEST(Wire, TextIsUtf8) {
+  for (const char* f : {"kit", "lot", "crew", "yard"}) {
+    json j = good();
+    j[f] = "img-\xff\xfe";
+    EXPECT_EQ(error_of(j), f);
+  }
+  json j = good();
+  j["breeds"] = {"\xc3"};
+  EXPECT_EQ(error_of(j), "breeds");
+  j["breeds"] = {"gr\xc3\xbc"};
+  EXPECT_EQ(error_of(j), "");
+}
+
+json good_types() {
+  return {{"breeds",
+           {{{"name", "g8"},
+             {"cpus", 96},
+             {"gpus", 8},
+             {"mem_gb", 768},
+             {"local_gb", 200},
+             {"fetch_gb_per_s", 1.0},
+             {"hourly", 12.0},
+             {"low_price", 4.5},
+             {"boot_s", 45},
+             {"yards", {"a", "b"}}}}}};
+}
+
+// A size read wrongly would have jobs answered 422 that can run: no list is better than that one.
+TEST(Wire, BadMachineTypesAreNoTypes) {
+  ASSERT_TRUE(parse_types(good_types()));
+  const std::vector<std::pair<const char*, json>> bad = {
+      {"name", 3},         {"name", ""},      {"cpus", "96"},      {"cpus", -1},
+      {"gpus", NAN},       {"mem_gb", 1e300}, {"mem_gb", nullptr}, {"hourly", "12"},
+      {"low_price", -4.5}, {"boot_s", NAN},   {"local_gb", true},  {"fetch_gb_per_s", INFINITY},
+      {"yards", "a"},      {"yards", {1}},    {"yards", nullptr}};
+  for (const auto& [k, v] : bad) {
+    json j = good_types();
+    j["breeds"].push_back(j["breeds"][0]);
+    j["breeds"][1]["name"] = "g9";
+    j["breeds"][1][k] = v;
+    EXPECT_FALSE(parse_types(j)) << k << " = " << v;
+  }
+  json twice = good_types();
+  twice["breeds"].push_back(twice["breeds"][0]);
+  EXPECT_FALSE(parse_types(twice));
+  EXPECT_FALSE(parse_types({{"breeds", {3}}}));
+  EXPECT_FALSE(parse_types({{"breeds", "g8"}}));
+  EXPECT_FALSE(parse_types(json::array()));
+}
+
+// A revision or a lease below 0 would be a huge one; a row without a stamp has no place in time.
+TEST(Wire, BadAnswersOfTheStateServiceAreNoAnswers) {
+  for (const json& v : {json(-1), json("4"), json(1.5), json(true), json()}) {
+    EXPECT_FALSE(parse_revision({{"ledger", v}})) << v;
+    EXPECT_FALSE(parse_lease({{"tether", v}})) << v;
+    EXPECT_FALSE(parse_row({{"k", "a"}, {"v", 1}, {"stamp", v}})) << v;
+    EXPECT_FALSE(parse_rows({{"rows", {{{"k", "a"}, {"stamp", v}}}}, {"ledger", 4}})) << v;
+    EXPECT_FALSE(parse_events({{"log", {{{"write", "a"}, {"stamp", v}}}}, {"ledger", 4}})) << v;
+  }
+  for (const json& v : {json(3), json("x"), json::array({1}), json::object(), json()}) {
+    EXPECT_FALSE(parse_rows(v)) << v;
+    EXPECT_FALSE(parse_events(v)) << v;
+    EXPECT_FALSE(parse_rows({{"rows", {v}}, {"ledger", 4}})) << v;
+    EXPECT_FALSE(parse_events({{"log", {v}}, {"ledger", 4}})) << v;
+    EXPECT_TRUE(parse_failed(v).empty());
+    bool more = false;
+    EXPECT_FALSE(parse_machines(v, more));
+    EXPECT_FALSE(parse_hired(v));
+  }
+}
+
 TEST(Wire, WritesOrders) {
   const json a = report_answer(7, {{Verb::stop, "wk-000001", 2, 3, 10}});
   EXPECT_EQ(a,
