--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -359,7 +359,7 @@
     return;
   }
   if (const auto v = mesh::decode(req.body)) hear(*v);
-  res.set_content(mesh::encode(view()).dump(), "application/json");
+  res.set_content(mesh::text(view()), "application/json");
 }
 
 }  // namespace rookdyke
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -55,7 +55,8 @@
       out.machines = std::move(*names);
     }
   } else if (a.status == 503) {
-    const bool full = a.body.is_object() && a.body.value("error", std::string()) == "no capacity";
+    const bool full =
+        a.body.is_object() && a.body.contains("error") && a.body["error"] == "no capacity";
     out.outcome = full ? CloudOutcome::no_capacity : CloudOutcome::refused;
   } else if (a.status == 400) {
     spdlog::error("cloud: hire {} was malformed", h.name);
@@ -82,6 +83,7 @@
     bool more = false;
     auto page = wire::parse_machines(a.body, more);
     if (!page) return std::nullopt;
+    if (!page->empty() && page->back().name <= after) return std::nullopt;  // it would never end
     if (!page->empty()) after = page->back().name;
     const bool empty = page->empty();
     all.insert(all.end(), std::make_move_iterator(page->begin()),
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -716,7 +716,8 @@
     image_hints_ = v.images;
     image_hints_token_ = v.token;
   }
-  needs_[v.label] = {std::clamp(v.writes, 0.0, 1e6), steady_now()};
+  for (const Sibling& s : config_.siblings)  // any other label would only take memory
+    if (s.label == v.label) needs_[v.label] = {std::clamp(v.writes, 0.0, 1e6), steady_now()};
   if (v.token <= highest_token_) return;
   highest_token_ = v.token;
   highest_leader_ = v.leader;
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -27,6 +27,7 @@
 };
 
 nlohmann::json encode(const View& v);
+std::string text(const View& v);  // encoded, as it goes out
 std::optional<View> decode(const std::string& text);
 
 // One sibling; for one thread.
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -23,7 +23,8 @@
 constexpr size_t kThreadsKept = 4;
 constexpr int kReadMs = 5'000;  // within a request
 constexpr int kWriteMs = 5'000;
-constexpr int kBacklog = 512;  // the library's is 5
+constexpr size_t kMaxHead = 64 * 1024;  // of a request: its headers, and what chunks take
+constexpr int kBacklog = 512;           // the library's is 5
 // A request that waited for a thread this long is looked at again: its sender may have left.
 constexpr std::chrono::milliseconds kLongWait(500);
 constexpr size_t kStack = 1 << 20;  // reserved, not used: the library matches headers recursively
@@ -47,7 +48,13 @@
   explicit ConnectionStream(int fd) : fd_(fd) {}
 
   // Reads what has come; false: the peer has closed.
-  bool begin() { return from_ < in_.size() || receive() > 0; }
+  bool begin() {
+    left_ = kMaxHead;
+    return from_ < in_.size() || receive() > 0;
+  }
+  // The library limits only bodies that name their length; one in chunks could take all memory.
+  void allow(size_t bytes) { left_ = bytes; }
+  bool spent() const { return left_ == 0; }
   bool buffered() const { return from_ < in_.size(); }
   bool peer_left() const { return wait_for(fd_, POLLRDHUP, 0); }
   // Nothing is kept for a connection that waits.
@@ -76,13 +83,15 @@
   bool is_readable() const override { return from_ < in_.size() || wait_for(fd_, POLLIN, kReadMs); }
   bool is_writable() const override { return true; }
   ssize_t read(char* ptr, size_t size) override {
+    if (spent()) return -1;
     if (from_ >= in_.size()) {
       const ssize_t n = fill(kReadMs);
       if (n <= 0) return n;
     }
-    const size_t n = std::min(size, in_.size() - from_);
+    const size_t n = std::min({size, in_.size() - from_, left_});
     std::memcpy(ptr, in_.data() + from_, n);
     from_ += n;
+    left_ -= n;
     return static_cast<ssize_t>(n);
   }
   ssize_t write(const char* ptr, size_t size) override {
@@ -111,6 +120,7 @@
   int fd_;
   std::string in_, out_;
   size_t from_ = 0;
+  size_t left_ = 0;  // bytes that the request may still have
 };
 
 void start_thread(std::function<void()> fn, size_t stack_bytes) {
@@ -341,10 +351,14 @@
   do {
     bool closed = false;
     closing = false;
-    const bool ok = process_request(*stream, left, closed,
-                                    [left](httplib::Request& r) { r.path = left ? kLeft : "/"; });
-    if (!stream->flush() || !ok || closed || left || closing) return close(stream);
-  } while (stream->buffered());
+    const bool ok = process_request(*stream, left, closed, [&](httplib::Request& r) {
+      r.path = left ? kLeft : "/";
+      const bool sized = r.has_header("Content-Length") && !r.has_header("Transfer-Encoding");
+      stream->allow(sized ? SIZE_MAX : payload_max_length_ + kMaxHead);
+    });
+    if (!stream->flush() || !ok || closed || left || closing || stream->spent())
+      return close(stream);
+  } while (stream->buffered() && stream->begin());
   keep(std::move(stream));
 }
 
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -75,8 +75,8 @@
     const Read got = get(c.key, max_wait_s);
     if (!got.ok) {
       r.outcome = Outcome::unknown;
-    } else if (got.row && got.row->value.is_object() &&
-               got.row->value.value("w", std::string()) == t.mark) {
+    } else if (got.row && got.row->value.is_object() && got.row->value.contains("w") &&
+               got.row->value["w"] == t.mark) {
       r.outcome = Outcome::applied;
       r.revision = got.row->stamp;
     }
@@ -97,7 +97,10 @@
                                         int most) {
   const Answer a = call("GET", wire::range_path(prefix, after, most), nullptr, 0, 1.0);
   if (a.status != 200) return std::nullopt;
-  return wire::parse_rows(a.body);
+  auto rows = wire::parse_rows(a.body);
+  // Read on from its last row, an answer that does not go on would be asked for without end.
+  if (rows && !rows->rows.empty() && rows->rows.back().key <= after) return std::nullopt;
+  return rows;
 }
 
 Client::Watch Client::watch(const std::string& prefix, uint64_t after, int hold_ms) {
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -632,6 +632,110 @@
   server.halt();
 }
 
+// Errors and marks of other types than text are not believed, nor do they end the caller.
+TEST(Cloud, AnswersOfTheWrongShapeAreOutlived) {
+  json answer;
+  int status = 200;
+  net::Server server(
+      {"127.0.0.1", 0}, 4, 4, 65536,
+      [&](const httplib::Request&, httplib::Response& r) { put(r, status, answer); });
+  ASSERT_TRUE(server.start());
+  {
+    net::Budget budget(1000);
+    cloud::Client client({"127.0.0.1", server.port()}, budget);
+    const Hire hire{"h-1", "box", "a", false, 1};
+    status = 503;
+    answer = {{"error", 3}};
+    EXPECT_EQ(client.hire(hire, {}).outcome, CloudOutcome::refused);
+    status = 200;
+    answer = {{"crofts", "m-1"}};
+    EXPECT_EQ(client.hire(hire, {}).outcome, CloudOutcome::unknown);
+    answer = {{"crofts", {"m-1", "", 3, std::string(300, 'x')}}};
+    EXPECT_EQ(client.hire(hire, {}).machines, std::vector<std::string>{"m-1"});
+    // A list that says it goes on, and never does, is no list.
+    answer = {{"crofts", {{{"id", "m-1"}}}}, {"truncated", true}};
+    EXPECT_FALSE(client.list());
+  }
+  server.halt();
+}
+
+TEST(StateClient, AnswersOfTheWrongShapeAreOutlived) {
+  net::Server server(
+      {"127.0.0.1", 0}, 4, 4, 65536, [&](const httplib::Request& q, httplib::Response& r) {
+        if (q.target == "/txn") return put(r, 409, {{"failed", 3}});
+        if (q.method == "POST") return put(r, 200, {{"tether", -1}});
+        if (q.target.rfind("/keys/", 0) == 0)
+          return put(r, 200, {{"k", "a"}, {"v", {{"w", 3}}}, {"stamp", 4}});
+        put(r, 200, {{"rows", {{{"k", "a"}, {"stamp", 4}}}}, {"truncated", true}, {"ledger", 4}});
+      });
+  ASSERT_TRUE(server.start());
+  {
+    state::Budgets budgets(1000, 1000);
+    state::Client client({"127.0.0.1", server.port()}, budgets);
+    ledger::Transaction t;
+    t.changes = {{"a", false, json(1), 0}};
+    t.mark = "m";
+    EXPECT_EQ(client.commit_repeated(t, 1).outcome, ledger::Outcome::conflict);
+    EXPECT_FALSE(client.grant(1));
+    EXPECT_TRUE(client.range("", "", 1));
+    EXPECT_FALSE(client.range("", "a", 1));  // it does not go on: reading would never end
+  }
+  server.halt();
+}
+
+TEST(Mesh, MessagesOfTheWrongShapeAreNotBelieved) {
+  const json good = mesh::encode({"n1", "n2", 9, true, 2.5, {{"images", 1}}});
+  ASSERT_TRUE(mesh::decode(good.dump()));
+  const std::vector<std::pair<const char*, json>> bad = {
+      {"token", -1},   {"token", "9"}, {"token", 1e300},     {"token", 2.5},
+      {"token", true}, {"label", 3},   {"leader", {1}},      {"state_ok", 1},
+      {"writes", "x"}, {"writes", -3}, {"token", UINT64_MAX}};
+  for (const auto& [k, v] : bad) {
+    json j = good;
+    j[k] = v;
+    EXPECT_FALSE(mesh::decode(j.dump())) << k << " = " << v;
+  }
+  std::string deep = good.dump();
+  deep.pop_back();
+  deep += ",\"x\":" + std::string(100'000, '[') + std::string(100'000, ']') + "}";
+  EXPECT_FALSE(mesh::decode(deep));
+}
+
+// Names that are no UTF-8 are told in JSON all the same.
+TEST(Mesh, NamesThatAreNoTextAreOutlived) {
+  net::Server server({"127.0.0.1", 0}, 4, 4, 65536,
+                     [&](const httplib::Request&, httplib::Response& r) { r.status = 404; });
+  ASSERT_TRUE(server.start());
+  {
+    mesh::Peer peer({"n1", {"127.0.0.1", server.port()}});
+    EXPECT_NO_THROW(peer.exchange({"n0", "\xff", 4, false, 0, {{"images", {"\xfe"}}}}));
+  }
+  server.halt();
+}
+
+// A body without a length, or in chunks, is held to the same limit as any other.
+TEST(Server, ABodyInChunksIsLimitedToo) {
+  std::atomic<size_t> longest{0};
+  net::Server server({"127.0.0.1", 0}, 10, 2, 65536,
+                     [&](const httplib::Request& q, httplib::Response& r) {
+                       longest = std::max<size_t>(longest, q.body.size());
+                       r.status = 200;
+                     });
+  ASSERT_TRUE(server.start());
+  const int fd = raw_connection(server.port());
+  const std::string head =
+      "POST /x HTTP/1.1\r\nHost: x\r\nContent-Type: a/b\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
+  ::send(fd, head.data(), head.size(), MSG_NOSIGNAL);
+  for (int i = 0; i < 100; ++i)
+    if (::send(fd, chunk.data(), chunk.size(), MSG_NOSIGNAL) < 0) break;
+  ::send(fd, "0\r\n\r\n", 5, MSG_NOSIGNAL);
+  EXPECT_NE(raw_answer(fd), "HTTP/1.1 200 OK");
+  ::close(fd);
+  server.halt();
+  EXPECT_LE(longest, 65536u);
+}
+
 TEST(Mesh, ViewsAreExchanged) {
   mesh::View heard;
   net::Server server(
