Admission: jobs that no zone can ever hold are answered 422, by a pure function

A zone that nobody offers, or without an allowed type that holds a task, and a scattered gang in one zone were accepted and waited for ever. The check of Node::submit is never_runs() now; too long a description is refused only after a barrier, as all else. Seen to fail with the old submit: Loopback.WhatCannotBeTakenIsRefused (201 for an unknown zone). Repeats of known jobs with another body and a cancellation of a done job were right already; AJobRunsAndEveryNodeSaysSo now says so.

--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "core/admission.h"
 #include "daemon/node.h"
 #include "wire/wire.h"
 
@@ -201,28 +202,11 @@
     types = !mirror_.types().empty() ? mirror_.types() : types_;
   }
   if (types.empty() || !loaded_) return later(res, "machine types are not known yet");
-  const TeamInfo* team = nullptr;
-  for (const TeamInfo& t : config_.core.teams)
-    if (t.name == spec->team) team = &t;
-  std::string never;
-  if (!team) never = "unknown team";
-  bool fits = false;
-  for (const TypeInfo& t : types) {
-    if (!spec->types.empty() &&
-        std::find(spec->types.begin(), spec->types.end(), t.name) == spec->types.end())
-      continue;
-    fits = fits || spec->each.fits(t.size);
-  }
-  if (!fits) never = "no allowed machine type holds a task";
-  if (team) {
-    const double n = spec->shape == Shape::gang ? spec->tasks : 1;
-    if ((team->cpus_max > 0 && spec->each.cpus * n > team->cpus_max + 1e-9) ||
-        (team->gpus_max > 0 && spec->each.gpus * n > team->gpus_max + 1e-9))
-      never = "more than the team's limit";
-  }
-  if (!never.empty()) {
+  const auto never = never_runs(*spec, types, config_.core.teams, config_.core.zones);
+  if (never) {
     if (decided_elsewhere()) return;
-    return reply(res, 422, {{"error", never}});
+    spdlog::info("submission {} refused: {}", *id, *never);
+    return reply(res, 422, {{"error", *never}});
   }
 
   ledger::JobRow row;
@@ -238,8 +222,10 @@
   row.mark = t.mark;
   const json value = ledger::encode(row);
   if (value.dump(-1, ' ', false, json::error_handler_t::replace).size() + 16 >
-      config_.core.value_bytes)
+      config_.core.value_bytes) {
+    if (decided_elsewhere()) return;
     return reply(res, 400, {{"error", "the description is too long"}});
+  }
   // Invariant 1: accepted means that this create-if-absent was executed.
   t.conditions = {{ledger::job_key(*id), 0}};
   t.changes = {{ledger::job_key(*id), false, value, 0}};
--- /dev/null
+++ b/src/core/admission.cpp
@@ -0,0 +1,60 @@
+#include "core/admission.h"
+
+#include <algorithm>
+#include <set>
+
+namespace rookdyke {
+
+namespace {
+
+constexpr double kSlack = 1e-9;  // as the core's own check of the limits has it
+
+bool has(const std::vector<std::string>& list, const std::string& name) {
+  return std::find(list.begin(), list.end(), name) != list.end();
+}
+
+bool over_limit(const JobSpec& job, const TeamInfo& team) {
+  // The tasks of an array may run one after the other, those of a gang only all at once.
+  const double n = job.shape == Shape::gang ? job.tasks : 1;
+  return (team.cpus_max > 0 && job.each.cpus * n > team.cpus_max + kSlack) ||
+         (team.gpus_max > 0 && job.each.gpus * n > team.gpus_max + kSlack);
+}
+
+}  // namespace
+
+std::optional<std::string> never_runs(const JobSpec& job, const std::vector<TypeInfo>& types,
+                                      const std::vector<TeamInfo>& teams,
+                                      const std::vector<std::string>& zones) {
+  const auto team = std::find_if(teams.begin(), teams.end(),
+                                 [&](const TeamInfo& t) { return t.name == job.team; });
+  if (team == teams.end()) return "unknown team";
+
+  bool fits = false, anywhere = false;  // anywhere: nobody can tell in which zones
+  std::set<std::string> offered;        // zones in which a machine that holds a task may be rented
+  for (const TypeInfo& t : types) {
+    if (!job.types.empty() && !has(job.types, t.name)) continue;
+    if (!job.each.fits(t.size)) continue;
+    fits = true;
+    const auto& in = t.zones.empty() ? zones : t.zones;
+    offered.insert(in.begin(), in.end());
+    anywhere = anywhere || in.empty();
+  }
+  if (!fits) return "no allowed machine type holds a task";
+  if (!job.zone.empty()) {
+    if (!anywhere && !offered.count(job.zone))
+      return "no allowed machine type that holds a task is in its zone";
+    offered = {job.zone};
+    anywhere = false;
+  }
+  if (over_limit(job, *team)) return "more than the team's limit";
+
+  // At most half of a gang, rounded up, may be in one zone, and all of it runs at once: two zones
+  // at least. An array may still run task by task.
+  if (job.shape == Shape::gang && job.scatter && job.tasks > 1) {
+    if (job.one_zone) return "a gang cannot be both scattered and in one zone";
+    if (!anywhere && offered.size() < 2) return "a gang cannot be scattered over a single zone";
+  }
+  return std::nullopt;
+}
+
+}  // namespace rookdyke
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cmath>
 
+#include "core/admission.h"
 #include "core/forecast.h"
 #include "core/ledger.h"
 #include "core/mirror.h"
@@ -129,6 +130,106 @@
   EXPECT_FALSE(ledger::decode_job("wk-000001", {{"standing", "open"}}));
 }
 
+// ---- what can never run
+
+class Admission : public testing::Test {
+ protected:
+  Admission() {
+    TypeInfo small, large;
+    small.name = "small";
+    small.size = {4, 0, 8};
+    small.zones = {"a", "b"};
+    large.name = "large";
+    large.size = {16, 4, 64};
+    large.zones = {"b"};
+    types = {small, large};
+    teams = {{"t", 0, 8, 0, 4}, {"free", 0, 0, 0, 0}};
+    job.team = "t";
+    job.tasks = 4;
+    job.each = {2, 0, 4};
+  }
+  bool runs() const { return !never_runs(job, types, teams, {"a", "b"}); }
+
+  std::vector<TypeInfo> types;
+  std::vector<TeamInfo> teams;
+  JobSpec job;
+};
+
+TEST_F(Admission, TeamsAndSizes) {
+  EXPECT_TRUE(runs());
+  job.team = "nobody";
+  EXPECT_FALSE(runs());
+  job.team = "t";
+  job.each.gpus = 1;
+  EXPECT_TRUE(runs());  // on the large ones
+  job.types = {"small"};
+  EXPECT_FALSE(runs());
+  job.types = {"small", "large"};
+  EXPECT_TRUE(runs());
+  job.types = {"round"};
+  EXPECT_FALSE(runs());
+  job.types.clear();
+  job.each = {17, 0, 1};
+  EXPECT_FALSE(runs());
+}
+
+TEST_F(Admission, AnArrayNeedsTheLimitForOneTaskAGangForAll) {
+  job.tasks = 100'000;
+  EXPECT_TRUE(runs());
+  job.each.cpus = 8;
+  EXPECT_TRUE(runs());
+  job.each.cpus = 8.001;
+  EXPECT_FALSE(runs());
+  job.shape = Shape::gang;
+  job.tasks = 4;
+  job.each.cpus = 2;
+  EXPECT_TRUE(runs());
+  job.tasks = 5;
+  EXPECT_FALSE(runs());
+  job.team = "free";  // it has no limit
+  EXPECT_TRUE(runs());
+}
+
+TEST_F(Admission, AZoneHasToOfferATypeThatHoldsATask) {
+  for (const char* zone : {"a", "b"}) {
+    job.zone = zone;
+    EXPECT_TRUE(runs());
+  }
+  job.zone = "c";
+  EXPECT_FALSE(runs());
+  job.zone = "a";
+  job.each.gpus = 1;
+  EXPECT_FALSE(runs());  // the large ones are in b only
+  job.zone = "b";
+  EXPECT_TRUE(runs());
+  types[1].zones.clear();  // not known: any zone of the deployment
+  job.zone = "a";
+  EXPECT_TRUE(runs());
+  EXPECT_FALSE(never_runs(job, types, teams, {}));
+}
+
+TEST_F(Admission, AScatteredGangNeedsTwoZones) {
+  job.shape = Shape::gang;
+  job.scatter = true;
+  EXPECT_TRUE(runs());
+  job.one_zone = true;
+  EXPECT_FALSE(runs());
+  job.tasks = 1;
+  EXPECT_TRUE(runs());
+  job.tasks = 2;
+  job.one_zone = false;
+  job.zone = "a";
+  EXPECT_FALSE(runs());
+  job.zone.clear();
+  job.each.gpus = 1;
+  EXPECT_FALSE(runs());  // the large ones are in b only
+  // An array's tasks may run one after the other, each by itself.
+  job.shape = Shape::array;
+  job.one_zone = true;
+  job.zone = "b";
+  EXPECT_TRUE(runs());
+}
+
 // ---- rows of any shape: what cannot be read is passed over, and nothing of it is believed
 
 nlohmann::json open_row() {
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -340,6 +340,13 @@
   EXPECT_TRUE(until([&] { return standing(b, "wk-000001") == "done"; }));
   EXPECT_EQ(standing(a, "wk-000001"), "done");
   EXPECT_EQ(submit(a, job("wk-000001", 5)), 200);
+  json never = job("wk-000001", 5);
+  never["crew"] = "nobody";
+  EXPECT_EQ(submit(b, never), 200);  // known: whatever the body says now
+  const std::string none;
+  const auto [status, cancelled] = ask(b, "/v2/runs/wk-000001/abort", &none);
+  EXPECT_EQ(status, 200);
+  EXPECT_EQ(cancelled.at("standing"), "done");
   EXPECT_EQ(standing(a, "wk-000077"), "404");
   EXPECT_GE(cloud.hired(), 1u);
 }
@@ -355,8 +362,18 @@
   j = job("wk-000002", 1);
   j["mem_gb"] = 9.0;
   EXPECT_EQ(submit(b, j), 422);
+  j = job("wk-000002", 1);
+  j["yard"] = "nowhere";
+  EXPECT_EQ(submit(a, j), 422);
+  j = job("wk-000002", 2);
+  j["shape"] = "ensemble";
+  j["scatter"] = true;  // in a single zone
+  EXPECT_EQ(submit(b, j), 422);
   j["shifts"] = 0;
   EXPECT_EQ(submit(a, j), 400);
+  j = job("wk-000002", 1);
+  j["kit"] = "\xff";
+  EXPECT_EQ(submit(a, j), 400);
   const std::string noise(100, '\xff'), long_body(70000, 'x');
   EXPECT_EQ(ask(a, "/v2/runs", &noise).first, 400);
   EXPECT_EQ(ask(a, "/v2/runs", &long_body).first, 400);
