--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -4,7 +4,7 @@
 //   rd/leader        who leads; hangs on the leader's lease, its stamp is the token
 //   rd/read_to       the revision up to which the leader has read, where siblings cannot be told
 //   rd/types         machine sizes, so that every node decides 422 alike
-//   rd/j/<job>       a job: its description while open, its final state for ever
+//   rd/j/<job>       a job: its description until it is done, its final state for ever
 //   rd/t/<n>         a page: chunks of several jobs' tasks. A chunk is the tasks [k*per, (k+1)*per)
 //                    of a job: which are done, which attempts may be on which machine, the
 //                    highest attempt number ever used
@@ -37,7 +37,14 @@
 std::string job_key(const std::string& job);
 std::string page_key(uint32_t n);
 std::string fleet_key(uint32_t n);
-uint32_t fleet_row(const std::string& key);  // the n of such a key
+// The n of such a key; empty: it has none.
+std::optional<uint32_t> fleet_row(const std::string& key);
+
+// No job has more tasks, no ledger of ours more pages, and no attempt a higher number: what a row
+// says beyond is not believed, for it would take all memory or time to follow.
+inline constexpr uint32_t kMostTasks = 100'000;
+inline constexpr uint32_t kMostPages = 1 << 17;
+inline constexpr uint64_t kMostAttempts = uint64_t{1} << 53;
 
 // Tasks of a chunk as sorted disjoint closed ranges.
 class TaskSet {
@@ -82,9 +89,10 @@
 struct JobRow {
   Standing standing = Standing::open;
   uint32_t tasks = 0;
-  uint32_t per = 0;             // tasks per chunk
-  double at_s = 0;              // time of day: accepted; of a cancelled job, cancelled
-  std::optional<JobSpec> spec;  // dropped at the end
+  uint32_t per = 0;  // tasks per chunk
+  double at_s = 0;   // time of day: accepted; of a cancelled job, cancelled
+  // Kept by a cancelled job: its tasks count for limits and zones until they are proven gone.
+  std::optional<JobSpec> spec;
   std::string mark;
 };
 
@@ -100,6 +108,7 @@
 
 json encode(const JobRow& row);
 json encode(const Page& page);
+// Empty: it cannot be read, and nothing of it is believed.
 std::optional<JobRow> decode_job(const std::string& id, const json& v);
 std::optional<Page> decode_page(const json& v);
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -747,7 +747,8 @@
     image_hints_ = v.images;
     image_hints_token_ = v.token;
   }
-  needs_[v.label] = {std::clamp(v.writes, 0.0, 1e6), steady_now()};
+  for (const Sibling& s : config_.siblings)  // any other label would only take memory
+    if (s.label == v.label) needs_[v.label] = {std::clamp(v.writes, 0.0, 1e6), steady_now()};
   // Together with the token below: who relies on a leader's word knows of that leader.
   known_cancellations_.read_to(v.read_to);
   told_cv_.notify_all();
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -4,6 +4,28 @@
 
 using nlohmann::json;
 
+namespace {
+constexpr int kMaxDepth = 32;
+constexpr uint64_t kMaxToken = uint64_t{1} << 53;  // tokens are revisions of the ledger
+
+// The library copies by recursion: a message of nothing but nested lists ends a small stack.
+json parse(const std::string& text) {
+  bool deep = false;
+  const auto shallow = [&](int depth, json::parse_event_t, json&) {
+    deep = deep || depth > kMaxDepth;
+    return !deep;
+  };
+  json j = json::parse(text, shallow, false);
+  return deep ? json(json::value_t::discarded) : j;
+}
+
+// -1 would be read as the highest of all tokens, and depose every leader for ever.
+std::optional<uint64_t> revision(const json& j) {
+  if (!j.is_number_unsigned() || j.get<uint64_t>() > kMaxToken) return std::nullopt;
+  return j.get<uint64_t>();
+}
+}  // namespace
+
 json encode(const View& v) {
   json out = {{"label", v.label},     {"incarnation", v.incarnation},
               {"read_to", v.read_to}, {"leader", v.leader},
@@ -13,18 +35,28 @@
   return out;
 }
 
+std::string text(const View& v) {
+  // Names come from users and workers; one that is no UTF-8 must not end the caller.
+  return encode(v).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::optional<View> decode(const std::string& text) {
-  const json j = json::parse(text, nullptr, false);
+  const json j = parse(text);
   if (j.is_discarded()) return std::nullopt;
   try {
     View v;
     j.at("label").get_to(v.label);
     j.at("leader").get_to(v.leader);
-    j.at("token").get_to(v.token);
+    const auto token = revision(j.at("token"));
+    // One that is too high would let users hear of what no leader knows.
+    const auto read_to = revision(j.value("read_to", json(uint64_t{0})));
+    if (!token || !read_to) return std::nullopt;
+    v.token = *token;
+    v.read_to = *read_to;
     j.at("state_ok").get_to(v.state_ok);
     v.writes = j.value("writes", 0.0);
+    if (v.writes < 0) return std::nullopt;
     v.incarnation = j.value("incarnation", "");
-    v.read_to = j.value("read_to", uint64_t{0});
     if (j.contains("images")) v.images = j.at("images");
     return v;
   } catch (const json::exception&) {
@@ -39,13 +71,18 @@
 }
 
 std::optional<Cancelled> decode_cancelled(const std::string& text) {
-  const json j = json::parse(text, nullptr, false);
+  const json j = parse(text);
   if (j.is_discarded()) return std::nullopt;
   try {
     Cancelled c;
-    j.at("token").get_to(c.token);
-    for (const json& r : j.at("rows"))
-      c.rows.push_back({r.at(0).get<std::string>(), r.at(1), r.at(2).get<uint64_t>()});
+    const auto token = revision(j.at("token"));
+    if (!token) return std::nullopt;
+    c.token = *token;
+    for (const json& r : j.at("rows")) {
+      const auto stamp = revision(r.at(2));
+      if (!stamp) return std::nullopt;
+      c.rows.push_back({r.at(0).get<std::string>(), r.at(1), *stamp});
+    }
     return c;
   } catch (const json::exception&) {
     return std::nullopt;
@@ -61,18 +98,18 @@
 }
 
 std::optional<View> Peer::exchange(const View& ours) {
-  const auto r = http_.Post(kView, encode(ours).dump(), "application/json");
+  const auto r = http_.Post(kView, text(ours), "application/json");
   if (!r || r->status != 200) return std::nullopt;
   return decode(r->body);
 }
 
 std::optional<uint64_t> Peer::tell(const Cancelled& c) {
-  const auto r = http_.Post(kCancelled, encode(c).dump(), "application/json");
+  const auto r =
+      http_.Post(kCancelled, encode(c).dump(-1, ' ', false, json::error_handler_t::replace),
+                 "application/json");
   if (!r || r->status != 200) return std::nullopt;
-  const json j = json::parse(r->body, nullptr, false);
-  if (!j.is_object() || !j.contains("token") || !j["token"].is_number_unsigned())
-    return std::nullopt;
-  return j["token"].get<uint64_t>();
+  const json j = parse(r->body);
+  return j.is_object() && j.contains("token") ? revision(j["token"]) : std::nullopt;
 }
 
 }  // namespace rookdyke::mesh
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -30,6 +30,7 @@
 };
 
 nlohmann::json encode(const View& v);
+std::string text(const View& v);  // encoded, as it goes out
 std::optional<View> decode(const std::string& text);
 
 // To the holder of the leader key: rows of cancelled jobs, durable already. `token` is the leader's
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -939,6 +939,7 @@
       row.standing = ledger::Standing::aborted;
       row.tasks = j->row.tasks;
       row.per = j->row.per;
+      row.spec = j->row.spec;
       row.at_s = w_.clock.now;
       t.conditions = {{ledger::job_key(id), j->stamp}};
       if (!mirror_.leader().empty()) {
