--- a/src/core/core.h
+++ b/src/core/core.h
@@ -292,6 +292,7 @@
   // -- reports.cpp
   void learn(Machine& m, const Report& r, double now);
   void take_task(Machine& m, Job& job, Attempt& a, const TaskReport& t, double now);
+  bool faulty(const Job& job) const;
   void judge_error(Machine& m, Job& job, double now);
   using Listed = std::vector<std::pair<Index, uint32_t>>;
   void take_list(Machine& m, const Report& r, std::vector<Order>* stops, std::vector<Order>* clears,
@@ -364,6 +365,7 @@
   double silence_limit() const;
   double patience() const;
   double waits_for(const Machine& m) const;
+  double unheard_limit(const Machine& m) const;
   bool many_silent(double now) const;
   bool holds_cancelled(const Machine& m) const;
   bool holds_overdue(const Machine& m, double now) const;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -101,6 +101,11 @@
   return many_silent_ && !holds_cancelled(m) ? patience() : silence_limit();
 }
 
+// And how long one that a predecessor had up, until a new leader hears it.
+double Core::unheard_limit(const Machine& m) const {
+  return std::max(waits_for(m), silence_limit() + kTakeoverGrace);
+}
+
 // The type whose machines a job's demand is counted for: the cheapest share of a machine.
 Index Core::home(const Job& job) const {
   Index best = kNone;
@@ -125,7 +130,9 @@
     if (!job || job->over()) continue;
     const Index t = home(*job);
     if (t == kNone) continue;
-    const double n = job->tasks() - job->done_count;
+    double n = job->tasks() - job->done_count;
+    // A job that fails everywhere is tried again where there is room; its many tasks ask for none.
+    if (faulty(*job) && !job->gang()) n = std::min(n, 1.0);
     Amounts d = job->spec.each.times(n);
     // What a team's limit keeps from running is no demand for machines.
     for (const TeamInfo& team : settings_.teams) {
@@ -159,6 +166,9 @@
 bool Core::counts(const Machine& m, double now) const {
   if (m.cordoned || m.recall_at >= 0 || m.returning || m.unreachable()) return false;
   if (m.state == MachineState::booting) {
+    // Up under a predecessor and not heard yet: no late boot, however long ago it was rented. Taken
+    // for one, it had a new leader rent a second fleet (docs/incidents/inc-6144.md).
+    if (m.was_up) return now - m.last_report <= unheard_limit(m);
     const double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
     return now - m.hired_at <= kLateBoot * boot;
   }
@@ -302,7 +312,6 @@
 }
 
 void Core::watch_machines(double now) {
-  const double quiet = silence_limit();
   // They come back one by one: the last of a cut are waited for as the first were.
   if (many_silent(now)) many_silent_until_ = now + kTakeoverGrace;
   many_silent_ = now < many_silent_until_;
@@ -340,8 +349,7 @@
           condemn(m, "takes up none of our answers");
         } else if (m.was_up) {
           // The ledger has tasks on it, so it was up under a predecessor.
-          if (silent > std::max(waits_for(m), quiet + kTakeoverGrace))
-            condemn(m, "not heard since the takeover");
+          if (silent > unheard_limit(m)) condemn(m, "not heard since the takeover");
         } else if (m.unlisted_at >= 0 && now - m.hired_at > 2 * settings_.list_lag_s + 5) {
           condemn(m, "rented under a predecessor and not listed");
         } else if (now - m.hired_at > settings_.tuning.boot_patience * boot) {
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -302,6 +302,7 @@
   const uint64_t number = job.top + 1;
   const bool late = starved(job, now);
   uint32_t most = late ? std::max(kStarvedLeast, job.tasks() / kStarvedShare) : UINT32_MAX;
+  if (faulty(job)) most = 1;  // one shows whether it still fails
   size_t began = 0;
   for (const Place& p : places(job, now, nullptr, warm_only)) {
     for (uint32_t k = 0; k < p.slots && budget > 0 && most > 0; ++k) {
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -117,14 +117,22 @@
   }
 }
 
+// Whether a job failed so widely since it last succeeded that the mistake is its own.
+bool Core::faulty(const Job& job) const {
+  return job.erred_on.size() >= kFaultyJobAfter || job.errors > 2 * kFaultyJobAfter;
+}
+
 void Core::judge_error(Machine& m, Job& job, double now) {
   job.erred_on.insert(m.index);
   ++job.errors;
-  if (job.erred_on.size() >= kFaultyJobAfter || job.errors > 2 * kFaultyJobAfter) {
+  if (faulty(job)) {
     // It fails everywhere: its own mistake. It waits ever longer and blames no machine.
     const double wait = std::min(60.0, 2.0 * static_cast<double>(1u << std::min(job.errors, 6u)));
     job.not_before = std::max(job.not_before, now + wait);
-    for (Index i : job.erred_on) machines_[i]->err_jobs.erase(job.id);
+    for (Index i : job.erred_on) {
+      Machine& other = *machines_[i];
+      if (other.err_jobs.erase(job.id) > 0 && other.err_jobs.empty()) other.suspect_until = 0;
+    }
     return;
   }
   job.not_before = std::max(job.not_before, now + 0.5);
