--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -50,13 +50,13 @@
 }  // namespace
 
 // The service cannot take it now and says so at once, and when to come back: spread out, so that
-// not all return in the same second after an outage. A node that is alone in its trouble lets the
-// connection go too: kept, it would bring the same user back here, until the load balancer finds
-// out.
-void Node::later(httplib::Response& res, const char* why) {
+// not all return in the same second after an outage. A node that is alone in its trouble, or whose
+// siblings may know more (`elsewhere`), lets the connection go too: kept, it would bring the same
+// user back here, until the load balancer finds out.
+void Node::later(httplib::Response& res, const char* why, bool elsewhere) {
   static std::atomic<unsigned> turn{0};
   res.set_header("Retry-After", std::to_string(1 + turn++ % 3));
-  if (steady_now() - siblings_ok_at_ < kHealthPatience) {
+  if (elsewhere || steady_now() - siblings_ok_at_ < kHealthPatience) {
     res.set_header("Connection", "close");
     net::Server::close_after_answer();
   }
@@ -277,7 +277,7 @@
 void Node::answer_job(const std::string& id, const JobAnswer& a, bool counts, double deadline,
                       httplib::Response& res) {
   if (a.standing == Standing::aborted && !may_say_aborted(id, deadline))
-    return later(res, "the leader has not heard of the cancellation");
+    return later(res, "the leader has not heard of the cancellation", true);
   reply(res, 200, wire::job_answer(id, a, counts));
 }
 
@@ -353,7 +353,7 @@
       apply({ledger::job_key(id), value, r->revision, false});
     }
     if (!may_say_aborted(id, deadline, leader))
-      return later(res, "the leader has not heard of the cancellation");
+      return later(res, "the leader has not heard of the cancellation", true);
     return reply(res, 200, {{"id", id}, {"standing", "aborted"}});
   }
 }
--- a/src/core/vigil.h
+++ b/src/core/lease_clock.h
@@ -8,17 +8,17 @@
 
 namespace rookdyke {
 
-class Vigil {
+class LeaseClock {
  public:
   // It has stood still if nobody called this for so long; it is called several times a second.
   static constexpr double kStall = 1;
   // Steady clocks drift apart by up to 0.05%: our count of a lease's time ends early by more.
   static constexpr double kDrift = 0.998;
 
-  explicit Vigil(double now = 0) : pulse_(now), woke_at_(now) {}
+  explicit LeaseClock(double now = 0) : pulse_(now), woke_at_(now) {}
 
   // For how long the process stood still before now; 0: it did not.
-  double feel(double now) {
+  double stall(double now) {
     const double still = now - pulse_;
     pulse_ = std::max(pulse_, now);
     if (still < kStall) return 0;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -33,7 +33,7 @@
 // changes it is read anew.
 constexpr double kLongBehind = 3;
 constexpr uint64_t kMostBehind = 200;
-constexpr double kPulseEvery = 0.25;  // the process looks at itself this often (core/vigil.h)
+constexpr double kPulseEvery = 0.25;  // the process looks at itself this often (core/lease_clock.h)
 
 }  // namespace
 
@@ -86,7 +86,7 @@
     set_role(Role::follower, "start");
   }
   if (!api_->start() || !mesh_->start()) return false;
-  vigil_ = Vigil(steady_now());
+  lease_clock_ = LeaseClock(steady_now());
   std::vector<std::string> siblings;
   for (const Sibling& s : config_.siblings) siblings.push_back(s.label);
   horizon_ = CancellationHorizon(std::move(siblings));
@@ -366,9 +366,9 @@
     return false;
   }
   const double now = steady_now();
-  feel(now);
-  vigil_.kept(granted);
-  if (!vigil_.runs(now, config_.lease_ttl_s)) {
+  notice_stall(now);
+  lease_clock_.kept(granted);
+  if (!lease_clock_.runs(now, config_.lease_ttl_s)) {
     // It took too long, or we stood still meanwhile: somebody else may lead by now.
     lease_ = *lease;
     set_role(Role::follower, "elected too late");
@@ -391,8 +391,8 @@
   return true;
 }
 
-void Node::feel(double now) {
-  const double still = vigil_.feel(now);
+void Node::notice_stall(double now) {
+  const double still = lease_clock_.stall(now);
   if (still <= 0) return;
   spdlog::warn("this process did not run for {:.1f} s", still);
   // The silence of others was our own.
@@ -402,8 +402,8 @@
 }
 
 bool Node::sure(double now) {
-  feel(now);
-  return leads() && vigil_.sure(now, config_.lease_ttl_s);
+  notice_stall(now);
+  return leads() && lease_clock_.sure(now, config_.lease_ttl_s);
 }
 
 bool Node::acts(double now) { return role_ == Role::leading && core_ && sure(now); }
@@ -418,7 +418,7 @@
 void Node::pulse_loop() {
   std::unique_lock lock(mutex_);
   while (!stop_) {
-    feel(steady_now());
+    notice_stall(steady_now());
     lock.unlock();
     std::this_thread::sleep_for(std::chrono::duration<double>(kPulseEvery));
     lock.lock();
@@ -451,18 +451,18 @@
         const auto kept = client.renew(lease);
         std::lock_guard lock(mutex_);
         const double now = steady_now();
-        feel(now);
-        vigil_.asked(sent);
+        notice_stall(now);
+        lease_clock_.asked(sent);
         if (leads()) {
           if (kept == state::Client::Renewal::kept) {
-            vigil_.kept(sent);
+            lease_clock_.kept(sent);
             horizon_.proven(sent);
             if (role_ == Role::doubtful) set_role(Role::leading, "the lease is renewed");
           } else if (kept == state::Client::Renewal::ended) {
             step_down(Role::follower, "the lease ended");
-          } else if (!vigil_.runs(now, config_.lease_ttl_s)) {
+          } else if (!lease_clock_.runs(now, config_.lease_ttl_s)) {
             if (role_ == Role::leading) set_role(Role::doubtful, "the lease could not be renewed");
-            if (now - vigil_.kept_at() > kMaxDoubt)
+            if (now - lease_clock_.kept_at() > kMaxDoubt)
               step_down(Role::follower, "in doubt for too long");
           }
         }
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -29,8 +29,8 @@
 #include "config/config.h"
 #include "core/cancellations.h"
 #include "core/core.h"
+#include "core/lease_clock.h"
 #include "core/mirror.h"
-#include "core/vigil.h"
 #include "mesh/mesh.h"
 #include "net/server.h"
 #include "state/client.h"
@@ -61,7 +61,7 @@
   void abort(const std::string& id, httplib::Response& res);
   void report(const httplib::Request& req, httplib::Response& res);
   void health(httplib::Response& res);
-  void later(httplib::Response& res, const char* why);
+  void later(httplib::Response& res, const char* why, bool elsewhere = false);
   void answer_job(const std::string& id, const JobAnswer& a, bool counts, double deadline,
                   httplib::Response& res);
   bool may_say_aborted(const std::string& id, double deadline, uint64_t leader = 0);
@@ -101,7 +101,7 @@
   // -- standing still: a process may stop in any line while its clocks run on. Nothing that was
   // read, decided or queued before counts until the lease has been asked for again.
   void pulse_loop();
-  void feel(double now);            // under mutex_: finds out that this process stood still
+  void notice_stall(double now);    // under mutex_: finds out that this process stood still
   bool sure(double now);            // under mutex_: the lease was looked at since
   bool acts(double now);            // under mutex_: leads without doubt, and may decide
   bool doubts(double now);          // under mutex_: may still have cancelled work stopped
@@ -120,7 +120,7 @@
   uint64_t token_ = 0, lease_ = 0;
   double rest_until_ = 0;
   bool warned_sockets_ = false, warned_memory_ = false;
-  Vigil vigil_;                  // of our lease, and of standing still
+  LeaseClock lease_clock_;       // of our lease, and of standing still
   std::vector<TypeInfo> types_;  // as the cloud tells, until the ledger has them
   uint64_t highest_token_ = 0;   // heard of from anybody
   std::string highest_leader_;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -9,10 +9,10 @@
 #include "core/admission.h"
 #include "core/cancellations.h"
 #include "core/forecast.h"
+#include "core/lease_clock.h"
 #include "core/ledger.h"
 #include "core/mirror.h"
 #include "core/states.h"
-#include "core/vigil.h"
 
 namespace rookdyke {
 namespace {
@@ -694,19 +694,19 @@
   }
 }
 
-TEST(Vigil, WhatWasKnownBeforeASleepCountsForNothing) {
-  Vigil v(100);
+TEST(LeaseClock, WhatWasKnownBeforeASleepCountsForNothing) {
+  LeaseClock v(100);
   v.kept(100.1);
   EXPECT_TRUE(v.sure(100.5, 2.5));
-  EXPECT_EQ(v.feel(100.6), 0);
-  EXPECT_EQ(v.feel(101.5), 0);
+  EXPECT_EQ(v.stall(100.6), 0);
+  EXPECT_EQ(v.stall(101.5), 0);
   // An outage: renewals fail, and the process lives through it. Doubt, but not of its own making.
   v.asked(102);
-  EXPECT_EQ(v.feel(102.4), 0);
+  EXPECT_EQ(v.stall(102.4), 0);
   EXPECT_FALSE(v.runs(103, 2.5));
   EXPECT_TRUE(v.sure(103, 2.5));
   // It stands still: nothing is sure until the lease has been asked for again.
-  EXPECT_NEAR(v.feel(130), 27.6, 1e-9);
+  EXPECT_NEAR(v.stall(130), 27.6, 1e-9);
   EXPECT_FALSE(v.sure(130, 2.5));
   v.asked(129);  // an answer to what was sent before it woke
   EXPECT_FALSE(v.sure(130.1, 2.5));
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -469,7 +469,7 @@
   waiting_.clear();
   heard_sibling_ = w_.clock.now;
   still_until = -1;
-  vigil_ = Vigil(w_.clock.now);
+  lease_clock_ = LeaseClock(w_.clock.now);
   known_cancellations_ = {};
   std::vector<std::string> siblings;
   for (const auto& n : w_.nodes)
@@ -494,14 +494,14 @@
   });
 }
 
-// As the daemon's (Node::feel, Node::sure).
+// As the daemon's (Node::notice_stall, Node::sure).
 bool SimNode::sure() {
-  const double still = vigil_.feel(w_.clock.now);
+  const double still = lease_clock_.stall(w_.clock.now);
   if (still > 0) {
     if (core_) core_->slept(still, w_.clock.now);
     heard_sibling_ = w_.clock.now;
   }
-  return core_ && vigil_.sure(w_.clock.now, kLeaseTtl);
+  return core_ && lease_clock_.sure(w_.clock.now, kLeaseTtl);
 }
 
 void SimNode::pulse() {
@@ -510,7 +510,7 @@
 }
 
 // As the daemon's (Node::acts): leads without doubt.
-bool SimNode::acts() { return sure() && vigil_.runs(w_.clock.now, kLeaseTtl); }
+bool SimNode::acts() { return sure() && lease_clock_.runs(w_.clock.now, kLeaseTtl); }
 
 uint64_t SimNode::known_token() const {
   return std::max({highest_token_, token_, mirror_.leader().empty() ? 0 : mirror_.leader_stamp()});
@@ -672,13 +672,14 @@
           [this, life, kept, lease, now](bool ok) {
             if (life != life_) return;
             sure();
-            vigil_.asked(now);
+            lease_clock_.asked(now);
             if (!core_ || lease != lease_ || !ok) return;
             if (*kept == 1) {
-              vigil_.kept(now);
+              lease_clock_.kept(now);
               horizon_.proven(now);
             }
-            if (w_.clock.now - vigil_.kept_at() > kMaxDoubt) return step_down("in doubt for long");
+            if (w_.clock.now - lease_clock_.kept_at() > kMaxDoubt)
+              return step_down("in doubt for long");
             if (*kept == 2) step_down("lease ended");
           });
     }
@@ -711,10 +712,10 @@
               campaigning_ = false;
               if (!good || mirror_.leader_stamp() != *token) return;
               sure();
-              if (w_.clock.now - now > kLeaseTtl * Vigil::kDrift) return;  // too late
+              if (w_.clock.now - now > kLeaseTtl * LeaseClock::kDrift) return;  // too late
               token_ = *token;
               lease_ = *lease;
-              vigil_.kept(now);
+              lease_clock_.kept(now);
               next_renewal_ = 0;
               core_ = std::make_unique<Core>(w_.settings, w_.types, token_, w_.clock.now);
               core_->set_day_offset(0);
@@ -858,7 +859,7 @@
       w_.clock.now - horizon_.at() > horizon_limit(w_.settings.cancel_s, w_.settings.lease_s))
     return a;  // jobs may have been cancelled unheard
   if (core_)
-    core_->allow_starts(vigil_.runs(w_.clock.now, kLeaseTtl) ||
+    core_->allow_starts(lease_clock_.runs(w_.clock.now, kLeaseTtl) ||
                         w_.clock.now - horizon_.at() < kFreshHorizon);
   if (core_ && !core_->lost()) {
     const ReportReply out = core_->on_report(r, w_.clock.now);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -17,7 +17,7 @@
 #include "checker.h"
 #include "core/cancellations.h"
 #include "core/core.h"
-#include "core/vigil.h"
+#include "core/lease_clock.h"
 
 namespace rookdyke::test {
 
@@ -212,7 +212,7 @@
   bool loaded_ = false, campaigning_ = false;
   std::unique_ptr<Core> core_;
   uint64_t token_ = 0, lease_ = 0;
-  Vigil vigil_;
+  LeaseClock lease_clock_;
   KnownCancellations known_cancellations_;
   CancellationHorizon horizon_;
   uint64_t highest_token_ = 0;
