Boots are judged by what they take of late: nearly all late are not rented twice

Now late is 1.8 times the median of the last two minutes, lost 1.2 times the longest, within twice the usual patience, and while most that should be up are not, they count.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -353,7 +353,13 @@
     Amounts demand, ordinary;  // ordinary: of jobs that may not use spot machines
     double above_since = -1;
     std::map<std::pair<Index, bool>, double> refused_until;  // (zone, spot)
+    std::deque<std::pair<double, double>> boots;  // of late: when a machine came up, and how old
+    bool all_late = false;                        // most of those that should be up are not
   };
+  void note_boot(const Machine& m, double now);
+  double late_after(const Machine& m) const;
+  double lost_after(const Machine& m) const;
+  void watch_boots(double now);
   void sample_demand(double now);
   void plan_fleet(double now);
   void plan_type(Index type, double now);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -16,6 +16,11 @@
 // A machine still booting after this many boot times no longer counts towards the target; it is
 // returned later (tuning.boot_patience), since some take several times as long.
 constexpr double kLateBoot = 1.8;
+// What is known of boots is as old as this at most, and no less than so many tell anything.
+constexpr double kBootMemory = 120;
+constexpr size_t kBootsToLearn = 3;
+constexpr double kBootMargin = 1.2;  // beyond the longest boot of late
+constexpr double kUnknownBoot = 60;  // of a machine whose type is not known yet
 // A new leader's machines get this long to find it before their silence means anything: a worker
 // needs up to 4 s of no answer, 1 s a node and one report interval.
 constexpr double kTakeoverGrace = 8;
@@ -163,14 +168,59 @@
   }
 }
 
+// A machine that this leader rented has come up.
+void Core::note_boot(const Machine& m, double now) {
+  if (m.type == kNone || m.hired_at <= started_) return;
+  type_state_[m.type].boots.emplace_back(now, now - m.hired_at);
+}
+
+// Boots take what they take of late: a machine is late when most others would be up.
+double Core::late_after(const Machine& m) const {
+  if (m.type == kNone) return kLateBoot * kUnknownBoot;
+  const auto& boots = type_state_[m.type].boots;
+  double usual = types_[m.type].boot_s;
+  if (boots.size() >= kBootsToLearn) {
+    std::vector<double> ages;
+    for (const auto& [at, age] : boots) ages.push_back(age);
+    std::nth_element(ages.begin(), ages.begin() + ages.size() / 2, ages.end());
+    usual = std::max(usual, ages[ages.size() / 2]);
+  }
+  return kLateBoot * usual;
+}
+
+// When a machine that is not up is given up: not just before others of its age come up.
+double Core::lost_after(const Machine& m) const {
+  const double patience = settings_.tuning.boot_patience;
+  if (m.type == kNone) return patience * kUnknownBoot;
+  const double least = patience * types_[m.type].boot_s;
+  double longest = 0;
+  for (const auto& [at, age] : type_state_[m.type].boots) longest = std::max(longest, age);
+  return std::clamp(kBootMargin * longest, least, 2 * least);
+}
+
+void Core::watch_boots(double now) {
+  std::vector<size_t> late(types_.size());
+  for (const auto& m : machines_)
+    if (m->state == MachineState::booting && !m->was_up && m->type != kNone &&
+        m->hired_at > started_ && now - m->hired_at > kLateBoot * types_[m->type].boot_s)
+      ++late[m->type];
+  for (Index t = 0; t < types_.size(); ++t) {
+    auto& boots = type_state_[t].boots;
+    while (!boots.empty() && boots.front().first < now - kBootMemory) boots.pop_front();
+    type_state_[t].all_late = late[t] >= kBootsToLearn && late[t] > boots.size();
+  }
+}
+
 bool Core::counts(const Machine& m, double now) const {
   if (m.cordoned || m.recall_at >= 0 || m.returning || m.unreachable()) return false;
   if (m.state == MachineState::booting) {
     // Up under a predecessor and not heard yet: no late boot, however long ago it was rented. Taken
     // for one, it had a new leader rent a second fleet (docs/incidents/inc-6144.md).
     if (m.was_up) return now - m.last_report <= unheard_limit(m);
-    const double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
-    return now - m.hired_at <= kLateBoot * boot;
+    // Late ones are replaced, but not while nearly all are late: the cloud would be as slow with
+    // those that took their place, and each would be rented twice.
+    const bool all_late = m.type != kNone && type_state_[m.type].all_late;
+    return now - m.hired_at <= (all_late ? lost_after(m) : late_after(m));
   }
   if (m.state != MachineState::ready) return false;
   return now - m.last_report <= (many_silent_ ? patience() : silence_limit());
@@ -315,6 +365,7 @@
   // They come back one by one: the last of a cut are waited for as the first were.
   if (many_silent(now)) many_silent_until_ = now + kTakeoverGrace;
   many_silent_ = now < many_silent_until_;
+  watch_boots(now);
   // Many machines that heed nothing at once are our own slowness.
   size_t heard = 0, unheeding = 0;
   for (const auto& m : machines_)
@@ -344,7 +395,6 @@
     }
     switch (m.state) {
       case MachineState::booting: {
-        const double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
         if (m.mute >= 3 && now - m.mute_since > kUnheededFor) {
           condemn(m, "takes up none of our answers");
         } else if (m.was_up) {
@@ -352,7 +402,7 @@
           if (silent > unheard_limit(m)) condemn(m, "not heard since the takeover");
         } else if (m.unlisted_at >= 0 && now - m.hired_at > 2 * settings_.list_lag_s + 5) {
           condemn(m, "rented under a predecessor and not listed");
-        } else if (now - m.hired_at > settings_.tuning.boot_patience * boot) {
+        } else if (now - m.hired_at > lost_after(m)) {
           condemn(m, "never came up");
         }
         break;
--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -16,6 +16,7 @@
 //   late_writes P                 chance that a transaction gets no answer and is carried out 2 to
 //                                 12 s later, after newer ones
 //   never_boots P
+//   slow_boots TIMES              machines take so many times as long to come up
 //   objective LOT wait|finished S   what is promised for a class
 //
 // Then what happens, at a time in seconds:
@@ -132,6 +133,7 @@
     world_->repeat = repeat_;
     world_->slow = slow_;
     world_->never_boots = never_boots_;
+    world_->slow_boots = slow_boots_;
     world_->late_copies = late_copies_;
     world_->late_copies_s = late_copies_s_;
     world_->late_writes = late_writes_;
@@ -277,6 +279,8 @@
     } else if (w[0] == "objective") {
       settings_.objectives.push_back(
           {word(w, 2, line) == "wait", word(w, 1, line), number(w, 3, line)});
+    } else if (w[0] == "slow_boots") {
+      slow_boots_ = number(w, 1, line);
     } else if (w[0] == "never_boots") {
       never_boots_ = number(w, 1, line);
     } else {
@@ -585,7 +589,7 @@
   Settings settings_;
   std::map<std::pair<std::string, bool>, int> capacity_;
   double late_copies_ = 0, late_copies_s_ = 0, late_writes_ = 0;
-  double lose_ = 0, repeat_ = 0, slow_ = 0, never_boots_ = 0;
+  double lose_ = 0, repeat_ = 0, slow_ = 0, never_boots_ = 0, slow_boots_ = 1;
   std::map<int, size_t> returns_at_;  // by the line that expects them
   std::unique_ptr<World> world_;
   std::vector<std::string> failures_;
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -1134,7 +1134,7 @@
     auto w = std::make_unique<Worker>(*this, name, *type, h.zone, h.spot);
     if (chance() >= never_boots) {
       Worker* p = w.get();
-      clock.after(type->boot_s * (0.6 + 0.9 * chance()), [p] { p->boot(); });
+      clock.after(slow_boots * type->boot_s * (0.6 + 0.9 * chance()), [p] { p->boot(); });
     }
     workers[name] = std::move(w);
     a.names.push_back(name);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -276,7 +276,7 @@
   std::map<std::pair<std::string, bool>, int> capacity;   // (zone, spot)
   std::map<std::string, std::vector<std::string>> hired;  // by request name
   size_t hires = 0, returns = 0, charged = 0;
-  double never_boots = 0;
+  double never_boots = 0, slow_boots = 1;  // chance; how many times as long boots take
 
   // Users.
   struct UserJob {
