Jobs that can run in one zone alone have machines rented there

Cause: the target counts machines wherever they stand. Bound, one-zone and scattered jobs waited for ever once it was met by machines elsewhere; the second fleet of a new leader had hidden it (scenario one_zone_after_failure). Such jobs are a floor for the machines of their zone: the sum of bound ones, the largest of the others. Seen failing without: bound_to_a_zone, one_zone_after_failure. A machine that a predecessor had up and that hears no answer is waited for as such (leader_ends_unreached_machines, seen failing: returned after 8 s with its tasks).

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -351,6 +351,12 @@
     double target = 0;
 
     Amounts demand, ordinary;  // ordinary: of jobs that may not use spot machines
+    // Of jobs that can run in that zone alone: bound to it, begun there, or spread over two.
+    struct Bound {
+      Amounts all, ordinary;                 // of jobs bound to it
+      double largest = 0, largest_dear = 0;  // in machines, of one that could go elsewhere too
+    };
+    std::map<Index, Bound> bound;  // by zone
     double above_since = -1;
     std::map<std::pair<Index, bool>, double> refused_until;  // (zone, spot)
     std::deque<std::pair<double, double>> boots;  // of late: when a machine came up, and how old
@@ -360,6 +366,11 @@
   double late_after(const Machine& m) const;
   double lost_after(const Machine& m) const;
   void watch_boots(double now);
+  void bind_demand(const Job& job, Index type, const Amounts& demand);
+  double machines_for(Index type, const Amounts& demand) const;
+  double floor_of(Index type, const TypeState::Bound& b, bool ordinary) const;
+  bool recall_draining(Index type, Index zone, bool ordinary);
+  bool hire(Index type, Index zone, bool spot, double count, double now);
   void sample_demand(double now);
   void plan_fleet(double now);
   void plan_type(Index type, double now);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -44,6 +44,7 @@
 constexpr double kOursShare = 0.15;
 // What replacing a machine takes, in boot times: until it is up and has fetched its first image.
 constexpr double kReplace = 1.25;
+constexpr double kMostHired = 50;  // in one request
 constexpr size_t kFleetNameBytes = 24;
 constexpr size_t kFleetRows = 4;  // a transaction: it is 64 KiB at most
 
@@ -118,6 +119,10 @@
   for (Index t = 0; t < types_.size(); ++t) {
     if (!job.types.empty() && !job.types[t]) continue;
     if (!job.spec.each.fits(types_[t].size)) continue;
+    const auto& zones = types_[t].zones;
+    if (!job.spec.zone.empty() &&
+        std::find(zones.begin(), zones.end(), job.spec.zone) == zones.end())
+      continue;
     const double price = job.spec.each.share_of(types_[t].size) *
                          (job.spec.spot ? types_[t].spot_price : types_[t].price);
     if (best == kNone || price < best_price) {
@@ -128,8 +133,55 @@
   return best;
 }
 
+// The zones that a job's demand is bound to. The target counts machines wherever they are, and was
+// met by machines in a zone where a bound or scattered job could not run: it waited for ever.
+void Core::bind_demand(const Job& job, Index type, const Amounts& demand) {
+  auto& bound = type_state_[type].bound;
+  const auto add = [&](Index zone) {
+    if (zone == kNone) return;
+    bound[zone].all += demand;
+    if (!job.spec.spot) bound[zone].ordinary += demand;
+  };
+  // Of those that could run elsewhere too, the largest: the others have their turn after it.
+  const auto reserve = [&](Index zone, double share) {
+    if (zone == kNone) return;  // of a predecessor's machine that no list has told of yet
+    const double n = machines_for(type, demand.times(share));
+    TypeState::Bound& b = bound[zone];
+    b.largest = std::max(b.largest, n);
+    if (!job.spec.spot) b.largest_dear = std::max(b.largest_dear, n);
+  };
+  const auto& zones = types_[type].zones;
+  if (job.zone != kNone) return add(job.zone);
+  if (job.waiting.empty()) return;
+  if (job.spec.one_zone) {
+    // It goes on where its tasks are, or else where most machines are.
+    std::map<Index, size_t> up;
+    for (const auto& [t, a] : job.attempts)
+      if (a.state != AttemptState::ended) return reserve(machines_[a.machine]->zone, 1);
+    for (const auto& m : machines_)
+      if (m->type == type && m->zone != kNone && m->state != MachineState::gone) ++up[m->zone];
+    Index best = zone_names_.find(zones.front());
+    for (const auto& [z, n] : up)
+      if (n > up[best]) best = z;
+    return reserve(best, job.gang() ? 1 : 1.0 / job.tasks());
+  }
+  if (!job.spec.scatter || job.tasks() < 2 || zones.size() < 2) return;
+  // At most half of it, rounded up, in one zone: the other half in a second one.
+  const double half = std::floor(job.tasks() / 2.0) / job.tasks();
+  reserve(zone_names_.find(zones[0]), half);
+  reserve(zone_names_.find(zones[1]), half);
+}
+
+double Core::floor_of(Index type, const TypeState::Bound& b, bool ordinary) const {
+  return ordinary ? std::max(b.largest_dear, machines_for(type, b.ordinary))
+                  : std::max(b.largest, machines_for(type, b.all));
+}
+
 void Core::sample_demand(double now) {
-  for (TypeState& t : type_state_) t.demand = t.ordinary = {};
+  for (TypeState& t : type_state_) {
+    t.demand = t.ordinary = {};
+    t.bound.clear();
+  }
   std::vector<Amounts> asked(team_names_.size());
   for (const auto& job : jobs_) {
     if (!job || job->over()) continue;
@@ -152,6 +204,7 @@
       sum += d;
     }
     type_state_[t].demand += d;
+    bind_demand(*job, t, d);
     if (!job->spec.spot) type_state_[t].ordinary += d;
   }
   for (Index t = 0; t < types_.size(); ++t) {
@@ -233,17 +286,50 @@
 
 void Core::condemn(Machine& m, const char* why) { set_state(m, MachineState::condemned, why); }
 
+double Core::machines_for(Index type, const Amounts& demand) const {
+  const Amounts size = types_[type].size.times(settings_.tuning.safe_fraction);
+  return std::ceil(demand.share_of(size) - 1e-9);
+}
+
+// A machine on its way out is the fastest machine to be had.
+bool Core::recall_draining(Index ti, Index zone, bool ordinary) {
+  for (const auto& m : machines_)
+    if (m->type == ti && m->zone == zone && m->state == MachineState::draining && !m->cordoned &&
+        m->recall_at < 0 && !(ordinary && m->spot))
+      return set_state(*m, MachineState::ready, "needed again in its zone");
+  return false;
+}
+
+// Asks for machines; false: that zone has lately had none of the kind.
+bool Core::hire(Index ti, Index zone, bool spot, double count, double now) {
+  const auto& refused = type_state_[ti].refused_until;
+  if (auto r = refused.find({zone, spot}); r != refused.end() && now < r->second) return false;
+  Hire h;
+  // Invariant 4: the token makes the name unique among leaders, the number within this one.
+  h.name = "h-" + std::to_string(token_) + "-" + std::to_string(++next_hire_);
+  h.type = types_[ti].name;
+  h.zone = zone_names_.name(zone);
+  h.spot = spot;
+  h.count = static_cast<int>(std::clamp(count, 1.0, kMostHired));
+  hires_.push_back(h);
+  hire_at_ = now + settings_.tuning.hire_every_s;
+  return true;
+}
+
 void Core::plan_type(Index ti, double now) {
   TypeState& s = type_state_[ti];
   const TypeInfo& type = types_[ti];
   double total = 0, ordinary = 0;
-  std::map<Index, double> per_zone;
+  std::map<Index, double> per_zone, ordinary_in;
   for (const std::string& z : type.zones) per_zone[zone_names_.find(z)] = 0;
   for (const auto& mp : machines_) {
     const Machine& m = *mp;
     if (m.type != ti || !counts(m, now)) continue;
     ++total;
-    if (!m.spot) ++ordinary;
+    if (!m.spot) {
+      ++ordinary;
+      ++ordinary_in[m.zone];
+    }
     ++per_zone[m.zone];
   }
   double asked = 0;
@@ -256,8 +342,16 @@
   total += asked;
   // Exception to the design's one count per type: spot machines cannot serve jobs that may not
   // use them, so those jobs' demand is a floor for the ordinary ones.
-  const double ordinary_need =
-      std::ceil(s.ordinary.share_of(type.size.times(settings_.tuning.safe_fraction)) - 1e-9);
+  const double ordinary_need = machines_for(ti, s.ordinary);
+  // And a second: jobs that can run in one zone alone are a floor for the machines there.
+  for (const auto& [zone, b] : s.bound) {
+    if (asked > 0 || now < hire_at_) break;
+    const double dear = floor_of(ti, b, true) - ordinary_in[zone];
+    const double lack = std::max(dear, floor_of(ti, b, false) - per_zone[zone]);
+    if (lack <= 0) continue;
+    if (recall_draining(ti, zone, dear > 0)) return;
+    if ((dear <= 0 && hire(ti, zone, true, lack, now)) || hire(ti, zone, false, lack, now)) return;
+  }
   double gap = std::max(s.target - total, ordinary_need - ordinary);
   if (gap <= 0) {
     if (total > s.target) {
@@ -300,17 +394,8 @@
   }
   if (zone == kNone) return;
   // Spread over the zones, so that a cut or a wave takes less.
-  count =
-      std::min({count, 50.0, std::max(1.0, std::ceil(gap / std::max<size_t>(1, per_zone.size())))});
-  Hire h;
-  // Invariant 4: the token makes the name unique among leaders, the number within this one.
-  h.name = "h-" + std::to_string(token_) + "-" + std::to_string(++next_hire_);
-  h.type = type.name;
-  h.zone = zone_names_.name(zone);
-  h.spot = spot;
-  h.count = static_cast<int>(count);
-  hires_.push_back(h);
-  hire_at_ = now + settings_.tuning.hire_every_s;
+  count = std::min(count, std::max(1.0, std::ceil(gap / std::max<size_t>(1, per_zone.size()))));
+  hire(ti, zone, spot, count, now);
 }
 
 void Core::plan_fleet(double now) {
@@ -319,14 +404,16 @@
   for (Index t = 0; t < types_.size(); ++t) {
     TypeState& s = type_state_[t];
     if (s.above_since < 0 || now - s.above_since < settings_.tuning.lull_s) continue;
-    const double need =
-        std::ceil(s.ordinary.share_of(types_[t].size.times(settings_.tuning.safe_fraction)) - 1e-9);
+    const double need = machines_for(t, s.ordinary);
     std::vector<std::pair<double, Index>> emptiest;
     size_t total = 0, ordinary = 0;
+    std::map<Index, double> per_zone, ordinary_in;
     for (const auto& m : machines_) {
       if (m->type != t || !counts(*m, now)) continue;
       ++total;
       ordinary += !m->spot;
+      ++per_zone[m->zone];
+      ordinary_in[m->zone] += !m->spot;
       // Of equally empty ones, the dearer goes first.
       if (m->state == MachineState::ready)
         emptiest.emplace_back(m->used.share_of(types_[t].size) + (m->spot ? 1e-3 : 0), m->index);
@@ -338,6 +425,12 @@
       if (left <= 0) break;
       Machine& m = *machines_[i];
       if (!m.spot && static_cast<double>(ordinary) <= need) continue;
+      if (auto b = s.bound.find(m.zone); b != s.bound.end()) {
+        if (per_zone[m.zone] <= floor_of(t, b->second, false)) continue;
+        if (!m.spot && ordinary_in[m.zone] <= floor_of(t, b->second, true)) continue;
+      }
+      --per_zone[m.zone];
+      ordinary_in[m.zone] -= !m.spot;
       if (!m.spot) --ordinary;
       --left;
       drain(m, now, "lull");
@@ -395,7 +488,8 @@
     }
     switch (m.state) {
       case MachineState::booting: {
-        if (m.mute >= 3 && now - m.mute_since > kUnheededFor) {
+        // One that was up under a predecessor has work on it, and is waited for as such.
+        if (m.mute >= 3 && now - m.mute_since > kUnheededFor && (!m.was_up || holds_cancelled(m))) {
           condemn(m, "takes up none of our answers");
         } else if (m.was_up) {
           // The ledger has tasks on it, so it was up under a predecessor.
--- a/src/core/mirror.cpp
+++ b/src/core/mirror.cpp
@@ -25,8 +25,13 @@
     spdlog::error("ledger: page {} cannot be read", n);
     return;
   }
-  for (const auto& [id, k] : page.holds)
-    if (auto it = jobs_.find(id); it != jobs_.end()) it->second.chunks.erase(k);
+  for (const auto& [id, k] : page.holds) {
+    // Another page may have claimed it since.
+    auto job = jobs_.find(id);
+    if (job == jobs_.end()) continue;
+    if (auto c = job->second.chunks.find(k); c != job->second.chunks.end() && c->second.page == n)
+      job->second.chunks.erase(c);
+  }
   page.holds.clear();
   for (ledger::PageEntry& e : read->entries) {
     page.holds.emplace_back(e.job, e.n);
