--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -716,6 +716,100 @@
   EXPECT_TRUE(v.runs(132, 2.5));
 }
 
+// A ledger with a job of seven tasks, cancelled or not, the first of them on m-1.
+Mirror with_a_task_on_m1(ledger::Standing standing, double at_s) {
+  Mirror m;
+  ledger::JobRow row;
+  row.standing = standing;
+  row.tasks = 7;
+  row.per = 3;
+  row.at_s = at_s;
+  row.spec = JobSpec{};
+  row.spec->team = "team";
+  row.spec->each = {1, 1, 1};
+  m.put("rd/j/wk-000001", ledger::encode(row), 3);
+  m.put("rd/t/0", nlohmann::json::parse(R"({"w":"x","e":[["wk-000001",0,1,[],[[0,1,"m-1",1]]]]})"),
+        4);
+  return m;
+}
+
+// The time to cancel runs from the cancellation, whoever leads: a machine that has not come to a
+// new leader goes once it had time to, unless what the ledger says of it is long past.
+TEST(Core, TheTimeToCancelDoesNotBeginAnewWithALeader) {
+  constexpr double kDayOffset = 1000, kNow = 100;
+  Settings settings = bare_settings();
+  settings.cancel_s = 60;
+  const auto returned_at = [&](double cancelled_at, double when) {
+    Core core(settings, {bare_type()}, 7, kNow);
+    core.set_day_offset(kDayOffset);
+    core.load(with_a_task_on_m1(ledger::Standing::aborted, kDayOffset + cancelled_at), kNow);
+    core.watch_cancelled(when);
+    return core.next_return(when, true);
+  };
+  const std::vector<std::string> m1 = {"m-1"}, none;
+  EXPECT_EQ(returned_at(60, 109), m1);
+  EXPECT_EQ(returned_at(60, 105), none);  // it may come yet
+  EXPECT_EQ(returned_at(95, 109), none);
+  EXPECT_EQ(returned_at(-100, 109), none);
+}
+
+// In doubt, only machines that keep cancelled work are returned, whatever else is condemned.
+TEST(Core, ALeaderInDoubtReturnsCancelledWorkAlone) {
+  Core core(bare_settings(), {bare_type()}, 7, 0);
+  core.load(with_a_task_on_m1(ledger::Standing::open, 1), 0);
+  core.on_machine_list({{"m-1", "h:1", "box", "a", false, ListedMachine::State::failed, 10}}, 0, 1);
+  EXPECT_EQ(state_of(core, 1), MachineState::condemned);
+  EXPECT_TRUE(core.next_return(2, true).empty());
+  EXPECT_EQ(core.next_return(2).size(), 1u);
+}
+
+// A leader that may not have heard of the latest cancellations orders no start, nor stops anything.
+TEST(Core, NoStartIsOrderedWithoutProof) {
+  Core core(bare_settings(), {bare_type()}, 7, 0);
+  core.load(with_a_task_on_m1(ledger::Standing::open, 1), 0);
+  core.allow_starts(false);
+  EXPECT_TRUE(core.on_report(bare_report(1, 1, 7), 1).orders.empty());
+  core.allow_starts(true);
+  const auto orders = core.on_report(bare_report(1, 2, 7), 2).orders;
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].verb, Verb::run);
+}
+
+// Invariant 1: a start is written on condition of the leader key, its page and its job's version.
+TEST(Core, AStartIsWrittenOnItsConditions) {
+  Core core(bare_settings(), {bare_type()}, 7, 0);
+  core.load(with_a_task_on_m1(ledger::Standing::open, 1), 0);
+  core.on_report(bare_report(1, 1, 7), 1);
+  core.round(1);
+  bool started = false;
+  while (const auto p = core.next_transaction(1)) {
+    if (p->txn.changes.at(0).key != "rd/t/0") continue;
+    started = true;
+    std::map<std::string, uint64_t> conditions;
+    for (const auto& c : p->txn.conditions) conditions[c.key] = c.stamp;
+    EXPECT_EQ(conditions, (std::map<std::string, uint64_t>{
+                              {"rd/leader", 7}, {"rd/t/0", 4}, {"rd/j/wk-000001", 3}}));
+  }
+  EXPECT_TRUE(started);
+}
+
+// Reports that take up nothing of what their predecessors were answered: the machine is out of
+// reach.
+TEST(Core, AMachineThatHeedsNothingTakesNoWork) {
+  Core core(bare_settings(), {bare_type()}, 7, 0);
+  core.load(with_a_task_on_m1(ledger::Standing::open, 1), 0);
+  for (uint64_t seq = 1; seq <= 3; ++seq) {
+    EXPECT_FALSE(core.machines().at(0)->unreachable());
+    core.on_report(bare_report(1, seq, 7), static_cast<double>(seq));
+  }
+  EXPECT_TRUE(core.machines().at(0)->unreachable());
+  core.watch_cancelled(4);
+  EXPECT_EQ(state_of(core, 1), MachineState::ready);  // nothing cancelled is on it
+  core.round(4);
+  core.round(13);
+  EXPECT_EQ(state_of(core, 1), MachineState::condemned);
+}
+
 // A user hears of a cancellation only once a leader is known to know it.
 TEST(KnownCancellations, OnlyWhatALeaderReadOrAcknowledged) {
   KnownCancellations known;
