--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -428,7 +428,8 @@
   ledger::Outcome mine{}, other{};
   const auto commit = [&](const std::string& from, ledger::Outcome& o) {
     world.call(
-        from, "state", 1, [&] { o = world.store.commit(write("k", from)).outcome; }, [](bool) {});
+        from, "state", 1, [this, from, &o] { o = world.store.commit(write("k", from)).outcome; },
+        [](bool) {});
   };
   commit("n0", mine);
   commit("users", other);
