--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -1,8 +1,8 @@
 #pragma once
-// What siblings tell one another on mesh_addr, in JSON: who they believe leads, with which token,
-// whether the state service answers them, and how many of the shared changes a second they have use
-// for. Nothing correct rests on it; it makes a leader that is cut from the state service alone step
-// aside sooner, tells an outage from a cut, and divides the rate of changes by need.
+// What siblings tell one another on mesh_addr, in JSON: who leads, with which token, whether the
+// state service answers, what changes a second they have use for. It makes a cut leader step aside
+// sooner and tells an outage from a cut. One rule rests on what they say of cancellations
+// (core/cancellations.h): no user hears of one that the leader may not know.
 
 #include <httplib.h>
 
