What boots took of late is worked out once a round; users' answers are taken in one place

late_after sorted, and lost_after searched, the last two minutes' boots for every booting machine, in every round; watch_boots does both once. World::poll and try_abort use heard().

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -30,7 +30,8 @@
     for (const std::string& z : t.zones) zone_names_.intern(z);
     const double ahead =
         settings_.tuning.boot_window_s > 0 ? settings_.tuning.boot_window_s : t.boot_s;
-    type_state_.push_back({Forecast(settings_.tuning, ahead), 0, {}, {}, {}, -1, {}, {}, false});
+    type_state_.push_back(
+        {Forecast(settings_.tuning, ahead), 0, {}, {}, {}, -1, {}, {}, 0, 0, false});
   }
   team_used_.resize(team_names_.size());
   next_sample_ = now;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -360,6 +360,7 @@
     double above_since = -1;
     std::map<std::pair<Index, bool>, double> refused_until;  // (zone, spot)
     std::deque<std::pair<double, double>> boots;  // of late: when a machine came up, and how old
+    double usual_boot = 0, longest_boot = 0;      // of these, as of this round
     bool all_late = false;                        // most of those that should be up are not
   };
   void note_boot(const Machine& m, double now);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -230,15 +230,7 @@
 // Boots take what they take of late: a machine is late when most others would be up.
 double Core::late_after(const Machine& m) const {
   if (m.type == kNone) return kLateBoot * kUnknownBoot;
-  const auto& boots = type_state_[m.type].boots;
-  double usual = types_[m.type].boot_s;
-  if (boots.size() >= kBootsToLearn) {
-    std::vector<double> ages;
-    for (const auto& [at, age] : boots) ages.push_back(age);
-    std::nth_element(ages.begin(), ages.begin() + ages.size() / 2, ages.end());
-    usual = std::max(usual, ages[ages.size() / 2]);
-  }
-  return kLateBoot * usual;
+  return kLateBoot * type_state_[m.type].usual_boot;
 }
 
 // When a machine that is not up is given up: not just before others of its age come up.
@@ -246,9 +238,7 @@
   const double patience = settings_.tuning.boot_patience;
   if (m.type == kNone) return patience * kUnknownBoot;
   const double least = patience * types_[m.type].boot_s;
-  double longest = 0;
-  for (const auto& [at, age] : type_state_[m.type].boots) longest = std::max(longest, age);
-  return std::clamp(kBootMargin * longest, least, 2 * least);
+  return std::clamp(kBootMargin * type_state_[m.type].longest_boot, least, 2 * least);
 }
 
 void Core::watch_boots(double now) {
@@ -258,9 +248,17 @@
         m->hired_at > started_ && now - m->hired_at > kLateBoot * types_[m->type].boot_s)
       ++late[m->type];
   for (Index t = 0; t < types_.size(); ++t) {
-    auto& boots = type_state_[t].boots;
-    while (!boots.empty() && boots.front().first < now - kBootMemory) boots.pop_front();
-    type_state_[t].all_late = late[t] >= kBootsToLearn && late[t] > boots.size();
+    TypeState& s = type_state_[t];
+    while (!s.boots.empty() && s.boots.front().first < now - kBootMemory) s.boots.pop_front();
+    s.all_late = late[t] >= kBootsToLearn && late[t] > s.boots.size();
+    std::vector<double> ages;
+    for (const auto& [at, age] : s.boots) ages.push_back(age);
+    s.usual_boot = types_[t].boot_s;
+    s.longest_boot = ages.empty() ? 0 : *std::max_element(ages.begin(), ages.end());
+    if (ages.size() < kBootsToLearn) continue;
+    const auto middle = ages.begin() + static_cast<std::ptrdiff_t>(ages.size() / 2);
+    std::nth_element(ages.begin(), middle, ages.end());
+    s.usual_boot = std::max(s.usual_boot, *middle);
   }
 }
 
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -1233,15 +1233,11 @@
   auto got = [this, id, settled](const std::string& a) {
     if (*settled) return;
     *settled = true;
-    UserJob& j = jobs[id];
     if (a.empty()) {
       checker.poll_failed(clock.now, id, clock.now - last_answer < 10);
     } else {
-      checker.told(clock.now, id, a, j.abort_asked);
+      heard(id, a, false);
       last_answer = clock.now;
-      j.told = a;
-      if (a == "done" && j.done_at < 0) j.done_at = clock.now;
-      if (a == "aborted" && j.aborted_at < 0) j.aborted_at = clock.now;
     }
     // Users may ask at any later time: they go on, more seldom, after the end.
     clock.after(a == "done" || a == "aborted" ? 20 : 5, [this, id] { poll(id); });
@@ -1269,11 +1265,7 @@
       clock.after(1, [this, id] { try_abort(id); });
       return;
     }
-    checker.told(clock.now, id, a, true);
-    UserJob& j = jobs[id];
-    j.told = a;
-    if (a == "aborted" && j.aborted_at < 0) j.aborted_at = clock.now;
-    if (a == "done" && j.done_at < 0) j.done_at = clock.now;
+    heard(id, a, true);
   };
   clock.after(5, [got] { got(""); });
   if (n)
