A starved array takes a share of the fleet; an only controller rides out any outage

A starved array went first with a sixteenth of its tasks whatever the size of the fleet: one of 100,000 tasks would have put 6,250 before promised work. Its turn is bounded by a sixteenth of what the fleet holds of such tasks.

A deployment of one controller had no siblings that could vouch for it, so an outage longer than cancel_s less lease_s cost its work, though nobody else could have confirmed a cancellation.

Jobs bound to one zone counted all machines for each of them, once in 5 s; they are counted once.

--- a/src/core/cancellations.h
+++ b/src/core/cancellations.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -50,6 +51,13 @@
   explicit CancellationHorizon(std::vector<std::string> siblings = {}, double now = -1e9)
       : siblings_(std::move(siblings)), proven_(now) {}
 
+  // The proof of a deployment's only controller, which is never out of date: nobody else confirms
+  // cancellations to users, and what its own predecessors confirmed was durable before that, so it
+  // was loaded with the ledger.
+  static CancellationHorizon of_only_controller() {
+    return CancellationHorizon({}, std::numeric_limits<double>::infinity());
+  }
+
   // The ledger was read, or our lease kept, by a request that was sent then.
   void proven(double sent) { proven_ = std::max(proven_, sent); }
   // A sibling answered a request that was sent then. `incarnation` names its process, `token` is
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -342,10 +342,13 @@
   void set_aside(Job& job, double now);
   void find_guaranteed();
   bool starved(const Job& job, double now) const;
+  uint32_t starved_share(const Job& job) const;
   double urgency(const Job& job, double now) const;
   void sort_jobs(double now);
 
   // -- fleet.cpp
+  // How many machines of a type a zone has, by (type, zone); those that are gone left out.
+  using MachineCounts = std::map<std::pair<Index, Index>, size_t>;
   struct TypeState {
     Forecast forecast;
     double target = 0;
@@ -367,7 +370,9 @@
   double late_after(const Machine& m) const;
   double lost_after(const Machine& m) const;
   void watch_boots(double now);
-  void bind_demand(const Job& job, Index type, const Amounts& demand);
+  void bind_demand(const Job& job, Index type, const Amounts& demand,
+                   const MachineCounts& machines);
+  MachineCounts count_machines() const;
   double machines_for(Index type, const Amounts& demand) const;
   double floor_of(Index type, const TypeState::Bound& b, bool ordinary) const;
   bool recall_draining(Index type, Index zone, bool ordinary);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -135,7 +135,8 @@
 
 // The zones that a job's demand is bound to. The target counts machines wherever they are, and was
 // met by machines in a zone where a bound or scattered job could not run: it waited for ever.
-void Core::bind_demand(const Job& job, Index type, const Amounts& demand) {
+void Core::bind_demand(const Job& job, Index type, const Amounts& demand,
+                       const MachineCounts& machines) {
   auto& bound = type_state_[type].bound;
   const auto add = [&](Index zone) {
     if (zone == kNone) return;
@@ -155,14 +156,18 @@
   if (job.waiting.empty()) return;
   if (job.spec.one_zone) {
     // It goes on where its tasks are, or else where most machines are.
-    std::map<Index, size_t> up;
     for (const auto& [t, a] : job.attempts)
       if (a.state != AttemptState::ended) return reserve(machines_[a.machine]->zone, 1);
-    for (const auto& m : machines_)
-      if (m->type == type && m->zone != kNone && m->state != MachineState::gone) ++up[m->zone];
     Index best = zone_names_.find(zones.front());
-    for (const auto& [z, n] : up)
-      if (n > up[best]) best = z;
+    auto first = machines.find({type, best});
+    size_t most = first == machines.end() ? 0 : first->second;
+    for (auto it = machines.lower_bound({type, 0}); it != machines.end(); ++it) {
+      const auto& [machine_type, zone] = it->first;
+      if (machine_type != type) break;
+      if (it->second <= most) continue;
+      most = it->second;
+      best = zone;
+    }
     return reserve(best, job.gang() ? 1 : 1.0 / job.tasks());
   }
   if (!job.spec.scatter || job.tasks() < 2 || zones.size() < 2) return;
@@ -172,6 +177,14 @@
   reserve(zone_names_.find(zones[1]), half);
 }
 
+Core::MachineCounts Core::count_machines() const {
+  MachineCounts counts;
+  for (const auto& m : machines_)
+    if (m->type != kNone && m->zone != kNone && m->state != MachineState::gone)
+      ++counts[{m->type, m->zone}];
+  return counts;
+}
+
 double Core::floor_of(Index type, const TypeState::Bound& b, bool ordinary) const {
   return ordinary ? std::max(b.largest_dear, machines_for(type, b.ordinary))
                   : std::max(b.largest, machines_for(type, b.all));
@@ -183,6 +196,7 @@
     t.bound.clear();
   }
   std::vector<Amounts> asked(team_names_.size());
+  const MachineCounts machines = count_machines();
   for (const auto& job : jobs_) {
     if (!job || job->over()) continue;
     const Index t = home(*job);
@@ -204,7 +218,7 @@
       sum += d;
     }
     type_state_[t].demand += d;
-    bind_demand(*job, t, d);
+    bind_demand(*job, t, d, machines);
     if (!job->spec.spot) type_state_[t].ordinary += d;
   }
   for (Index t = 0; t < types_.size(); ++t) {
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -296,12 +296,21 @@
   spdlog::debug("task {}/{} attempt {}: proposed for {}", job.spec.id, task, number, m.name);
 }
 
+// How many tasks a starved array may begin at its turn: a share of its own, and no more than that
+// share of what the whole fleet holds of them. Of an array larger than the fleet, a share of its
+// own would take every place before promised work.
+uint32_t Core::starved_share(const Job& job) const {
+  const double fleet_holds = job.share > 0 ? static_cast<double>(ready_) / job.share : 0;
+  const double counted = std::min<double>(job.tasks(), fleet_holds);
+  return std::max(kStarvedLeast, static_cast<uint32_t>(counted) / kStarvedShare);
+}
+
 bool Core::place_array(Job& job, double now, int& budget, bool warm_only) {
   if (!within_limit(job, 1)) return true;  // its own limit, not the machines, holds it back
   if (known_full(job, 1)) return false;
   const uint64_t number = job.top + 1;
   const bool late = starved(job, now);
-  uint32_t most = late ? std::max(kStarvedLeast, job.tasks() / kStarvedShare) : UINT32_MAX;
+  uint32_t most = late ? starved_share(job) : UINT32_MAX;
   if (faulty(job)) most = 1;  // one shows whether it still fails
   size_t began = 0;
   for (const Place& p : places(job, now, nullptr, warm_only)) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -89,7 +89,8 @@
   lease_clock_ = LeaseClock(steady_now());
   std::vector<std::string> siblings;
   for (const Sibling& s : config_.siblings) siblings.push_back(s.label);
-  horizon_ = CancellationHorizon(std::move(siblings));
+  horizon_ = config_.nodes == 1 ? CancellationHorizon::of_only_controller()
+                                : CancellationHorizon(std::move(siblings));
   threads_.emplace_back([this] { pulse_loop(); });
   threads_.emplace_back([this] { watch_loop(); });
   threads_.emplace_back([this] { lead_loop(); });
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -867,6 +867,14 @@
   EXPECT_EQ(h.at(), 30);
 }
 
+// Nobody else confirms cancellations there, so an outage of any length costs no work.
+TEST(CancellationHorizon, TheOnlyControllersProofIsNeverOutOfDate) {
+  const CancellationHorizon only = CancellationHorizon::of_only_controller();
+  EXPECT_LT(1e6 - only.at(), horizon_limit(38, 18));
+  const CancellationHorizon unheard({"n1"});
+  EXPECT_GT(1e6 - unheard.at(), horizon_limit(38, 18));
+}
+
 TEST(CancellationHorizon, LeasesEndWithinTheTimeToCancel) {
   for (const auto& [cancel, lease] : {std::pair{38.0, 18.0}, {46.5, 26.5}, {59.0, 29.0}})
     EXPECT_LT(horizon_limit(cancel, lease) + lease * 1.0005, cancel * 0.9995);
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -474,7 +474,8 @@
   std::vector<std::string> siblings;
   for (const auto& n : w_.nodes)
     if (n.get() != this) siblings.push_back(n->label_);
-  horizon_ = CancellationHorizon(std::move(siblings));
+  horizon_ = w_.nodes.size() == 1 ? CancellationHorizon::of_only_controller()
+                                  : CancellationHorizon(std::move(siblings));
   highest_token_ = 0;
   pulse();
   watch();
--- /dev/null
+++ b/tests/starvation_test.cpp
@@ -0,0 +1,93 @@
+// How much a starved array may take of the fleet at its turn.
+
+#include <gtest/gtest.h>
+
+#include "core/core.h"
+
+namespace rookdyke {
+namespace {
+
+constexpr uint64_t kToken = 7;
+constexpr int kMachines = 64;
+constexpr size_t kPlacesOfAMachine = 4;
+constexpr uint32_t kSeveralTimesTheFleet = 20'000;
+
+Settings settings_of_one_zone() {
+  Settings settings;
+  settings.label = "n0";
+  settings.zones = {"a"};
+  settings.teams = {{"team", 0, 0, 0, 0}};
+  settings.report_s = 5;
+  settings.lease_s = 29;
+  return settings;
+}
+
+TypeInfo machine_type() {
+  TypeInfo type;
+  type.name = "box";
+  type.size = {16, kPlacesOfAMachine, 64};
+  type.cache_gb = 100;
+  type.price = 4;
+  type.spot_price = 1;
+  type.boot_s = 50;
+  type.zones = {"a"};
+  return type;
+}
+
+Report report_of(int machine, uint64_t number) {
+  Report report;
+  report.machine = "m-" + std::to_string(machine);
+  report.addr = "10.0.0.1:1";
+  report.type = "box";
+  report.zone = "a";
+  report.session = 1;
+  report.seq = number;
+  report.token = kToken;
+  return report;
+}
+
+Mirror ledger_with_array(uint32_t tasks, double accepted_at) {
+  Mirror mirror;
+  ledger::JobRow row;
+  row.tasks = tasks;
+  row.per = 100;
+  row.at_s = accepted_at;
+  row.spec = JobSpec{};
+  row.spec->team = "team";
+  row.spec->tasks = tasks;
+  row.spec->each = {1, 1, 1};
+  row.spec->image = "image";
+  row.spec->image_gb = 1;
+  mirror.put("rd/j/wk-000001", ledger::encode(row), 3);
+  return mirror;
+}
+
+// Starts of the array in the first round of a leader, 64 empty machines of four places each.
+size_t starts_in_first_round(uint32_t tasks, double waited) {
+  constexpr double kNow = 500;
+  Core core(settings_of_one_zone(), {machine_type()}, kToken, kNow);
+  core.set_day_offset(0);
+  core.load(ledger_with_array(tasks, kNow - waited), kNow);
+  for (int i = 0; i < kMachines; ++i) core.on_report(report_of(i, 1), kNow);
+  core.round(kNow);
+  return core.find_job("wk-000001")->attempts.size();
+}
+
+// Without the bound by the fleet an array larger than it would take every place at its turn, before
+// work that is promised a prompt start.
+TEST(Starvation, AnArrayLargerThanTheFleetTakesAShareOfTheFleet) {
+  constexpr size_t kShareOfTheFleet = kMachines * kPlacesOfAMachine / 16;
+  EXPECT_EQ(starts_in_first_round(kSeveralTimesTheFleet, 130), kShareOfTheFleet);
+}
+
+TEST(Starvation, AnArraySmallerThanTheFleetTakesAShareOfItsTasks) {
+  EXPECT_EQ(starts_in_first_round(160, 130), 10u);
+  EXPECT_EQ(starts_in_first_round(16, 130), 4u) << "never fewer than four";
+}
+
+TEST(Starvation, AnArrayThatDoesNotStarveIsNotBounded) {
+  EXPECT_GT(starts_in_first_round(160, 1), 10u);
+}
+
+}  // namespace
+}  // namespace rookdyke
