State connections for users' requests: a pool of their own, without a friend of Node

state::ConnectionPool takes over the mutex, the condition variable, the idle connections and their count from Node, and the class PooledState from api.cpp, whose handle becomes ConnectionPool::Connection. The bound, the time limit and the order of hand-outs stay.

--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -23,7 +23,6 @@
 // A submission that finds no connection and no budget in this time is more than we can take: it is
 // told so at once, not when its user would give up anyway.
 constexpr double kQueuePatience = 0.9;
-constexpr size_t kPool = 4;
 constexpr double kHealthPatience = 2;
 // An answer that took longer has nobody who waits for it; what it says may be older than what its
 // user has been told since.
@@ -63,38 +62,6 @@
   reply(res, 503, {{"error", why}});
 }
 
-// A connection to the state service, borrowed for one user's request.
-class PooledState {
- public:
-  explicit PooledState(Node& n) : node_(n) {
-    std::unique_lock lock(n.pool_mutex_);
-    if (n.pool_.empty() && n.pool_made_ < kPool) {
-      ++n.pool_made_;
-      mine_ = std::make_unique<state::Client>(n.config_.state, n.state_budgets_);
-      return;
-    }
-    n.pool_cv_.wait_for(lock, std::chrono::duration<double>(kQueuePatience),
-                        [&] { return !n.pool_.empty(); });
-    if (n.pool_.empty()) return;
-    mine_ = std::move(n.pool_.back());
-    n.pool_.pop_back();
-  }
-  ~PooledState() {
-    if (!mine_) return;
-    std::lock_guard lock(node_.pool_mutex_);
-    node_.pool_.push_back(std::move(mine_));
-    node_.pool_cv_.notify_one();
-  }
-  PooledState(const PooledState&) = delete;
-  PooledState& operator=(const PooledState&) = delete;
-  state::Client* operator->() { return mine_.get(); }
-  explicit operator bool() const { return mine_ != nullptr; }
-
- private:
-  Node& node_;
-  std::unique_ptr<state::Client> mine_;
-};
-
 void Node::serve(const httplib::Request& req, httplib::Response& res) {
   const std::string path = req.target.substr(0, req.target.find('?'));
   static const std::string jobs = std::string(wire::kJobs) + "/";
@@ -135,7 +102,7 @@
 // state service that refuses, or a queue that is too long, ends it at once.
 std::optional<ledger::Result> Node::settle(const ledger::Transaction& t, double deadline) {
   if (state_down()) return std::nullopt;
-  PooledState state(*this);
+  state::ConnectionPool::Connection state(state_connections_, kQueuePatience);
   if (!state) return std::nullopt;
   bool repeat = false;
   while (true) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -24,6 +24,7 @@
 constexpr double kNeedFresh = 6;     // what a sibling said of its need counts this long
 constexpr size_t kApiThreads = 160;  // requests served at once; users' wait for the state service
 constexpr size_t kMeshThreads = 8;
+constexpr size_t kUserConnections = 4;  // to the state service, for the users' requests
 constexpr int kDirectThreads = 3;
 constexpr double kPublishEvery = 0.6;
 constexpr size_t kTellAtOnce = 256;  // cancellations in a message to the leader
@@ -61,6 +62,7 @@
     : config_(std::move(config)),
       state_budgets_(config_.state_rps, config_.write_rps),
       cloud_budget_(config_.cloud_rps),
+      state_connections_(config_.state, state_budgets_, kUserConnections),
       random_(std::random_device{}()) {
   incarnation_ = config_.core.label + "." +
                  std::to_string(std::chrono::system_clock::now().time_since_epoch().count()) + "." +
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -34,6 +34,7 @@
 #include "mesh/mesh.h"
 #include "net/server.h"
 #include "state/client.h"
+#include "state/connection_pool.h"
 
 namespace rookdyke {
 
@@ -149,11 +150,7 @@
 
   state::Budgets state_budgets_;
   net::Budget cloud_budget_;
-  // Connections to the state service for the users' requests.
-  std::mutex pool_mutex_;
-  std::condition_variable pool_cv_;
-  std::vector<std::unique_ptr<state::Client>> pool_;
-  size_t pool_made_ = 0;
+  state::ConnectionPool state_connections_;  // for the users' requests
 
   std::unique_ptr<net::Server> api_, mesh_;
   std::vector<std::thread> threads_;
@@ -169,7 +166,6 @@
   std::map<std::string, Need> needs_;  // of changes a second, by sibling
   double need_ = 0;                    // our own
   double need_at_ = 0;
-  friend class PooledState;
 };
 
 double steady_now();
