Read barriers: a class of their own between the callers and the watcher

ReadBarrier takes over from Node the counters, their mutex, both condition variables and the count of failures in a row (Node::barrier, state_down, the waits of watch_loop). Callers and the watcher lock as before: the barrier's own mutex, never together with the node's.

--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -101,7 +101,7 @@
 // yet be executed, or not; the user has to ask again. It is waited for only while it may succeed: a
 // state service that refuses, or a queue that is too long, ends it at once.
 std::optional<ledger::Result> Node::settle(const ledger::Transaction& t, double deadline) {
-  if (state_down()) return std::nullopt;
+  if (read_barrier_.failing()) return std::nullopt;
   state::ConnectionPool::Connection state(state_connections_, kQueuePatience);
   if (!state) return std::nullopt;
   bool repeat = false;
@@ -111,7 +111,7 @@
     const ledger::Result r = repeat ? state->commit_repeated(t, std::min(left, kQueuePatience))
                                     : state->commit(t, std::min(left, kQueuePatience));
     if (r.outcome == Outcome::unknown) {
-      if (state_down()) return std::nullopt;
+      if (read_barrier_.failing()) return std::nullopt;
       repeat = true;
       continue;
     }
@@ -140,7 +140,7 @@
     return true;
   };
   auto decided_elsewhere = [&] {  // before any 400 or 422: nobody may have accepted it
-    if (!barrier(deadline - steady_now())) {
+    if (!read_barrier_.wait(deadline - steady_now())) {
       later(res, "the ledger does not answer");
       return true;
     }
@@ -155,7 +155,8 @@
     }
   }
   if (seen) {
-    if (!over && !barrier(deadline - steady_now())) return later(res, "the ledger does not answer");
+    if (!over && !read_barrier_.wait(deadline - steady_now()))
+      return later(res, "the ledger does not answer");
     if (known()) return;
   }
 
@@ -226,7 +227,7 @@
     }
   }
   // Invariant 5: anything else could be older than what another node has said.
-  if (!barrier(kPollPatience)) return later(res, "the ledger does not answer");
+  if (!read_barrier_.wait(kPollPatience)) return later(res, "the ledger does not answer");
   std::optional<JobAnswer> a;
   {
     std::lock_guard lock(mutex_);
@@ -274,7 +275,7 @@
   // Not told: the ledger may still bring word of how far the leader has read, if both answer.
   told_cv_.wait_until(lock, until, [&] {
     return stop_ || known_cancellations_.has(id, stamp) ||
-           (tellings_.at(id).tried && (state_down() || mirror_.leader().empty()));
+           (tellings_.at(id).tried && (read_barrier_.failing() || mirror_.leader().empty()));
   });
   if (--tellings_.at(id).waiting == 0) tellings_.erase(id);
   return known_cancellations_.has(id, stamp);
@@ -288,7 +289,8 @@
     ledger::JobRow row;
     std::optional<JobAnswer> over;
     uint64_t leader = 0;
-    if (!barrier(deadline - steady_now())) return later(res, "the ledger does not answer");
+    if (!read_barrier_.wait(deadline - steady_now()))
+      return later(res, "the ledger does not answer");
     {
       std::lock_guard lock(mutex_);
       const MirrorJob* j = mirror_.job(id);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -30,6 +30,10 @@
 constexpr size_t kTellAtOnce = 256;  // cancellations in a message to the leader
 constexpr double kEagerGap = 0.06;   // rounds follow events no closer than this
 constexpr int kReloadRows = 500;
+// After a look at the ledger that failed, the next one follows this much later, or at the next
+// call.
+constexpr double kRetryWatch = 0.15;
+constexpr double kRetryReload = 0.3;
 // After this long without an answer the ledger is asked how far it has gone on; beyond so many
 // changes it is read anew.
 constexpr double kLongBehind = 3;
@@ -117,11 +121,7 @@
     tell_cv_.notify_all();
     told_cv_.notify_all();
   }
-  {
-    std::lock_guard lock(barrier_mutex_);
-    watch_cv_.notify_all();
-    barrier_cv_.notify_all();
-  }
+  read_barrier_.stop();
   for (std::thread& t : threads_) t.join();
   threads_.clear();
   api_->halt();
@@ -134,16 +134,6 @@
 
 // ---------------------------------------------------------------- the ledger's mirror
 
-bool Node::barrier(double timeout_s) {
-  if (state_down()) return false;  // known to fail: said at once
-  std::unique_lock lock(barrier_mutex_);
-  const uint64_t mine = ++barrier_asked_;
-  watch_cv_.notify_all();
-  barrier_cv_.wait_for(lock, std::chrono::duration<double>(timeout_s),
-                       [&] { return stop_ || barrier_done_ >= mine || barrier_failed_ >= mine; });
-  return barrier_done_ >= mine;
-}
-
 void Node::apply(const wire::Row& row) {
   if (row.erased) {
     mirror_.erase(row.key, row.stamp);
@@ -201,22 +191,11 @@
           lead ? kLeaderShare : (1 - kLeaderShare) / std::max(1, config_.nodes - 1);
       gap = std::max(0.02, 1 / (0.45 * share * config_.state_rps));
     }
-    uint64_t asked = 0;
-    {
-      std::unique_lock lock(barrier_mutex_);
-      const auto due = [&] {
-        return stop_ || barrier_asked_ > std::max(barrier_done_, barrier_failed_);
-      };
-      const double until = last + interval - steady_now();
-      if (loaded && until > 0) watch_cv_.wait_for(lock, std::chrono::duration<double>(until), due);
-      const double soon = last + gap - steady_now();
-      if (soon > 0 && !stop_) {
-        lock.unlock();
-        std::this_thread::sleep_for(std::chrono::duration<double>(soon));
-        lock.lock();
-      }
-      asked = barrier_asked_;
-    }
+    const double until = last + interval - steady_now();
+    if (loaded && until > 0) read_barrier_.wait_for_caller(until);
+    const double soon = last + gap - steady_now();
+    if (soon > 0 && !stop_) std::this_thread::sleep_for(std::chrono::duration<double>(soon));
+    const ReadBarrier::Read read = read_barrier_.begin_read();
     if (stop_) break;
     last = steady_now();
     bool ok = false;
@@ -246,7 +225,7 @@
     if (w.kind == state::Client::Watch::Kind::events) {
       ok = true;
       followed = steady_now();
-      watch_failures_ = 0;
+      read_barrier_.answered();
       std::lock_guard lock(mutex_);
       for (const wire::Row& r : w.rows.rows) apply(r);
       revision_ = std::max(revision_, w.rows.revision);
@@ -266,13 +245,10 @@
       if (must_publish()) tell_cv_.notify_one();
       if (!leads() && mirror_.leader().empty()) lead_cv_.notify_all();
     }
-    std::unique_lock lock(barrier_mutex_);
-    (ok ? barrier_done_ : barrier_failed_) = asked;
-    barrier_cv_.notify_all();
-    if (!ok) {
-      ++watch_failures_;
-      watch_cv_.wait_for(lock, std::chrono::milliseconds(loaded ? 150 : 300));
-    }
+    if (ok)
+      read_barrier_.succeeded(read);
+    else
+      read_barrier_.failed(read, loaded ? kRetryWatch : kRetryReload);
   }
 }
 
@@ -354,7 +330,7 @@
     return false;
   }
   // Everything that a predecessor committed lies before this key; the barrier brings it here.
-  if (!barrier(2.0)) {
+  if (!read_barrier_.wait(2.0)) {
     client.drop(*lease);
     return false;
   }
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -31,6 +31,7 @@
 #include "core/core.h"
 #include "core/lease_clock.h"
 #include "core/mirror.h"
+#include "daemon/read_barrier.h"
 #include "mesh/mesh.h"
 #include "net/server.h"
 #include "state/client.h"
@@ -71,8 +72,6 @@
   std::optional<ledger::Result> settle(const ledger::Transaction& t, double deadline);
 
   // -- node.cpp
-  // Waits until the mirror shows at least all that was committed before the call.
-  bool barrier(double timeout_s);
   void watch_loop();
   bool reload(state::Client& client);
   void apply(const wire::Row& row);  // under mutex_
@@ -93,8 +92,6 @@
   void share_writes();                 // under mutex_
   bool alone(double now) const;        // no sibling answers, nor does the state service
   std::string new_mark();              // under mutex_
-  // Whether asking the state service now is in vain as far as we know.
-  bool state_down() const { return watch_failures_ >= 2; }
   mesh::View view() const;
   bool leads() const { return role_ == Role::leading || role_ == Role::doubtful; }
   uint64_t known_token() const;          // under mutex_: the highest known of
@@ -137,14 +134,10 @@
   std::map<std::string, Telling> tellings_;
   double published_at_ = -1e9;
 
-  // Read barriers.
-  std::mutex barrier_mutex_;
-  std::condition_variable barrier_cv_, watch_cv_;
-  uint64_t barrier_asked_ = 0, barrier_done_ = 0, barrier_failed_ = 0;
-  uint64_t revision_ = 0;  // the mirror holds all up to here (watcher's own)
+  ReadBarrier read_barrier_;  // locks for itself; never waited at while mutex_ is held
+  uint64_t revision_ = 0;     // the mirror holds all up to here (watcher's own)
   std::atomic<bool> loaded_{false};
   std::atomic<double> state_ok_at_{-1e9};
-  std::atomic<int> watch_failures_{0};        // in a row
   std::atomic<double> siblings_at_{-1e9};     // a sibling was last heard
   std::atomic<double> siblings_ok_at_{-1e9};  // a sibling last said that the state answers it
 
