Cancellations: a gate of its own between users, what the leader knows and the notifier

CancellationGate takes over from Node what the leader is known to know, the pending notifications and the waits of may_say_aborted and tell_loop. It is used under the node's mutex as before, and its waits release that mutex; what to answer still is decided in Node::may_say_aborted alone.

--- a/src/api/api.cpp
+++ b/src/api/api.cpp
@@ -258,27 +258,16 @@
   const MirrorJob* j = mirror_.job(id);
   if (!j || j->row.standing != Standing::aborted) return false;
   const uint64_t stamp = j->stamp;
-  if (known_cancellations_.has(id, stamp)) return true;
+  if (cancellation_gate_.is_known(id, stamp)) return true;
   // Our own core took the row with the mirror. A leader that slept may be none any more.
   if (leads()) {
     const bool ours = core_ && !core_->lost() && sure(steady_now()) && token_ >= known_token();
-    if (ours) known_cancellations_.acknowledge(id, stamp);
+    if (ours) cancellation_gate_.acknowledge(id, stamp);
     return ours;
   }
-  Telling& t = tellings_[id];
-  if (t.waiting++ == 0) t.tried = false;
-  t.leader = std::max(t.leader, leader);
-  tell_cv_.notify_one();
-  const auto until =
-      std::chrono::steady_clock::now() +
-      std::chrono::duration<double>(std::min(deadline - steady_now(), kTellPatience));
-  // Not told: the ledger may still bring word of how far the leader has read, if both answer.
-  told_cv_.wait_until(lock, until, [&] {
-    return stop_ || known_cancellations_.has(id, stamp) ||
-           (tellings_.at(id).tried && (read_barrier_.failing() || mirror_.leader().empty()));
-  });
-  if (--tellings_.at(id).waiting == 0) tellings_.erase(id);
-  return known_cancellations_.has(id, stamp);
+  return cancellation_gate_.wait_until_known(
+      lock, id, stamp, leader, std::min(deadline - steady_now(), kTellPatience),
+      [this] { return read_barrier_.failing() || mirror_.leader().empty(); });
 }
 
 void Node::abort(const std::string& id, httplib::Response& res) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -118,8 +118,7 @@
     engine_cv_.notify_all();
     lead_cv_.notify_all();
     mesh_cv_.notify_all();
-    tell_cv_.notify_all();
-    told_cv_.notify_all();
+    cancellation_gate_.stop();
   }
   read_barrier_.stop();
   for (std::thread& t : threads_) t.join();
@@ -239,10 +238,9 @@
       horizon_.proven(sent);
       if (leads() && mirror_.leader_stamp() > token_)
         step_down(Role::follower, "the leader key is not ours");
-      if (leads()) known_cancellations_.read_to(revision_);
-      known_cancellations_.read_to(mirror_.read_to());
-      told_cv_.notify_all();
-      if (must_publish()) tell_cv_.notify_one();
+      if (leads()) cancellation_gate_.leader_has_read(revision_);
+      cancellation_gate_.leader_has_read(mirror_.read_to());
+      if (must_publish()) cancellation_gate_.wake_notifier();
       if (!leads() && mirror_.leader().empty()) lead_cv_.notify_all();
     }
     if (ok)
@@ -709,7 +707,7 @@
   mesh::View v;
   v.label = config_.core.label;
   v.incarnation = incarnation_;
-  v.read_to = known_cancellations_.read_to();
+  v.read_to = cancellation_gate_.leader_read_to();
   v.state_ok = steady_now() - state_ok_at_ < kStateFresh;
   v.writes = need_;
   v.token = known_token();
@@ -728,8 +726,7 @@
   for (const Sibling& s : config_.siblings)  // any other label would only take memory
     if (s.label == v.label) needs_[v.label] = {std::clamp(v.writes, 0.0, 1e6), steady_now()};
   // Together with the token below: who relies on a leader's word knows of that leader.
-  known_cancellations_.read_to(v.read_to);
-  told_cv_.notify_all();
+  cancellation_gate_.leader_has_read(v.read_to);
   if (v.token <= highest_token_) return;
   highest_token_ = v.token;
   highest_leader_ = v.leader;
@@ -802,7 +799,7 @@
   ledger::Transaction t;
   t.mark = new_mark();
   t.conditions = {{ledger::kLeaderKey, token_}};
-  t.changes = {{ledger::kReadToKey, false, known_cancellations_.read_to(), 0}};
+  t.changes = {{ledger::kReadToKey, false, cancellation_gate_.leader_read_to(), 0}};
   lock.unlock();
   client.commit(t, 0.5);  // refused, or without an answer: the next one tells more
   lock.lock();
@@ -819,21 +816,21 @@
     const std::string leader = mirror_.leader();
     auto peer = peers.find(leader);
     if (!leader.empty()) c.token = mirror_.leader_stamp();
-    for (auto& [id, t] : tellings_) {
-      if (t.tried || c.rows.size() >= kTellAtOnce) continue;
-      const MirrorJob* j = mirror_.job(id);
+    for (const CancellationGate::Pending& p : cancellation_gate_.pending()) {
+      if (c.rows.size() >= kTellAtOnce) break;
+      const MirrorJob* j = mirror_.job(p.job);
       // Whom to ask follows from a ledger that has the row: an older one may name a leader that
       // was over when it was written.
-      const bool placed = t.leader > 0 ? t.leader <= c.token : j && revision_ >= j->stamp;
+      const bool placed = p.leader > 0 ? p.leader <= c.token : j && revision_ >= j->stamp;
       if (!j || !placed || peer == peers.end()) {
-        t.tried = true;
+        cancellation_gate_.set_tried(p.job);
         continue;
       }
-      c.rows.push_back({id, ledger::encode(j->row), j->stamp});
+      c.rows.push_back({p.job, ledger::encode(j->row), j->stamp});
     }
     if (c.rows.empty()) {
-      told_cv_.notify_all();
-      nap(lock, tell_cv_, kPublishEvery);
+      cancellation_gate_.wake_waiting();
+      cancellation_gate_.wait_for_pending(lock, kPublishEvery);
       continue;
     }
     lock.unlock();
@@ -846,10 +843,10 @@
     else
       spdlog::info("cancellations of {} jobs: {} has not taken them up", c.rows.size(), leader);
     for (const mesh::Cancelled::Row& r : c.rows) {
-      if (acknowledged) known_cancellations_.acknowledge(r.job, r.stamp);
-      if (auto t = tellings_.find(r.job); t != tellings_.end()) t->second.tried = true;
+      if (acknowledged) cancellation_gate_.acknowledge(r.job, r.stamp);
+      cancellation_gate_.set_tried(r.job);
     }
-    told_cv_.notify_all();
+    cancellation_gate_.wake_waiting();
   }
 }
 
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -31,6 +31,7 @@
 #include "core/core.h"
 #include "core/lease_clock.h"
 #include "core/mirror.h"
+#include "daemon/cancellation_gate.h"
 #include "daemon/read_barrier.h"
 #include "mesh/mesh.h"
 #include "net/server.h"
@@ -109,7 +110,6 @@
   Config config_;
   mutable std::mutex mutex_;
   std::condition_variable commit_cv_, cloud_cv_, direct_cv_, engine_cv_, lead_cv_, mesh_cv_;
-  std::condition_variable tell_cv_, told_cv_;
   std::atomic<bool> stop_{false};
 
   Mirror mirror_;
@@ -124,14 +124,8 @@
   std::string highest_leader_;
 
   // -- cancellations (core/cancellations.h)
-  KnownCancellations known_cancellations_;
+  CancellationGate cancellation_gate_;  // under mutex_
   CancellationHorizon horizon_;
-  struct Telling {        // a cancelled job that its leader has to be told of
-    uint64_t leader = 0;  // held the key when it was written; 0: see the mirror
-    bool tried = false;   // by a message; the ledger may still bring word of the leader
-    int waiting = 0;
-  };
-  std::map<std::string, Telling> tellings_;
   double published_at_ = -1e9;
 
   ReadBarrier read_barrier_;  // locks for itself; never waited at while mutex_ is held
