Share of the writes: WriteShare keeps the demand of all replicas, apart from Node

WriteShare takes over from Node its own demand, that of the siblings and the rule of share_writes; it is pure and used under the node's mutex, as before. The figures have names now, the arithmetic is the same.

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <map>
 #include <utility>
 
 namespace rookdyke {
@@ -21,7 +22,6 @@
 // of an outage: it leaves its workers to whom the others elect.
 constexpr double kAloneAfter = 5;
 constexpr double kHintsEvery = 5;
-constexpr double kNeedFresh = 6;     // what a sibling said of its need counts this long
 constexpr size_t kApiThreads = 160;  // requests served at once; users' wait for the state service
 constexpr size_t kMeshThreads = 8;
 constexpr size_t kUserConnections = 4;  // to the state service, for the users' requests
@@ -40,6 +40,12 @@
 constexpr uint64_t kMostBehind = 200;
 constexpr double kPulseEvery = 0.25;  // the process looks at itself this often (core/lease_clock.h)
 
+std::vector<std::string> labels_of(const std::vector<Sibling>& siblings) {
+  std::vector<std::string> labels;
+  for (const Sibling& s : siblings) labels.push_back(s.label);
+  return labels;
+}
+
 }  // namespace
 
 double steady_now() {
@@ -67,7 +73,9 @@
       state_budgets_(config_.state_rps, config_.write_rps),
       cloud_budget_(config_.cloud_rps),
       state_connections_(config_.state, state_budgets_, kUserConnections),
-      random_(std::random_device{}()) {
+      random_(std::random_device{}()),
+      write_share_(config_.core.label, labels_of(config_.siblings), config_.nodes,
+                   config_.write_rps) {
   incarnation_ = config_.core.label + "." +
                  std::to_string(std::chrono::system_clock::now().time_since_epoch().count()) + "." +
                  std::to_string(random_());
@@ -93,9 +101,7 @@
   }
   if (!api_->start() || !mesh_->start()) return false;
   lease_clock_ = LeaseClock(steady_now());
-  std::vector<std::string> siblings;
-  for (const Sibling& s : config_.siblings) siblings.push_back(s.label);
-  horizon_ = CancellationHorizon(std::move(siblings));
+  horizon_ = CancellationHorizon(labels_of(config_.siblings));
   threads_.emplace_back([this] { pulse_loop(); });
   threads_.emplace_back([this] { watch_loop(); });
   threads_.emplace_back([this] { lead_loop(); });
@@ -267,34 +273,9 @@
 
 std::string Node::new_mark() { return incarnation_ + "." + std::to_string(++marks_); }
 
-// The changes a second that all nodes together may make go by need. Submissions, which the
-// followers write, have what they asked for lately and half as much again, up to a part that
-// depends on whether the leader has much to write; the leader has the rest.
 void Node::share_writes() {
-  if (config_.nodes <= 1) return state_budgets_.writes.set_share(0.95);
-  constexpr double kAll = 0.95;
-  // Submissions come one by one: what a node asked for in the last second says little of the next.
-  const double least = 0.2 / (config_.nodes - 1);
-  const double now = steady_now(), rate = std::max(1e-3, config_.write_rps);
   const std::string leader = leads() ? config_.core.label : highest_leader_;
-  double followers = 0, leaders = 0;
-  const auto part = [&](double need) { return 1.5 * need / rate + least; };
-  const auto count = [&](const std::string& label, double need) {
-    if (label == leader)
-      leaders = need / rate;
-    else
-      followers += part(need);
-  };
-  count(config_.core.label, need_);
-  for (const Sibling& sibling : config_.siblings) {
-    auto it = needs_.find(sibling.label);
-    const bool fresh = it != needs_.end() && now - it->second.at < kNeedFresh;
-    count(sibling.label, fresh ? it->second.writes : 0);
-  }
-  const double most = leaders > 0.25 ? 0.6 : 0.85;
-  const double scale = followers > most ? most / followers : 1;
-  state_budgets_.writes.set_share(leader == config_.core.label ? kAll - scale * followers
-                                                               : scale * part(need_));
+  state_budgets_.writes.set_share(write_share_.share(leader, steady_now()));
 }
 
 bool Node::alone(double now) const {
@@ -709,7 +690,7 @@
   v.incarnation = incarnation_;
   v.read_to = cancellation_gate_.leader_read_to();
   v.state_ok = steady_now() - state_ok_at_ < kStateFresh;
-  v.writes = need_;
+  v.writes = write_share_.own_demand();
   v.token = known_token();
   v.leader = highest_leader_;
   return v;
@@ -723,8 +704,7 @@
     image_hints_ = v.images;
     image_hints_token_ = v.token;
   }
-  for (const Sibling& s : config_.siblings)  // any other label would only take memory
-    if (s.label == v.label) needs_[v.label] = {std::clamp(v.writes, 0.0, 1e6), steady_now()};
+  write_share_.record_sibling(v.label, v.writes, steady_now());
   // Together with the token below: who relies on a leader's word knows of that leader.
   cancellation_gate_.leader_has_read(v.read_to);
   if (v.token <= highest_token_) return;
@@ -749,11 +729,8 @@
         images = core_->image_hints();
       }
       const double asked = state_budgets_.writes.asked();
-      const double past = std::max(0.2, now - need_at_);
-      need_at_ = now;
-      // Up at once, down slowly.
-      need_ = std::max(asked / past, 0.7 * need_);
-      if (core_ && leads()) need_ = std::max(need_, static_cast<double>(core_->unsent()));
+      const double backlog = core_ && leads() ? static_cast<double>(core_->unsent()) : 0;
+      write_share_.record_own(asked, backlog, now);
       share_writes();
     }
     for (auto& p : peers) {
@@ -785,12 +762,7 @@
   if (role_ != Role::leading || mirror_.last_cancelled() <= mirror_.read_to()) return false;
   const double now = steady_now();
   if (now - published_at_ < kPublishEvery) return false;
-  size_t fresh = 0;
-  for (const Sibling& s : config_.siblings) {
-    auto it = needs_.find(s.label);
-    fresh += it != needs_.end() && now - it->second.at < kNeedFresh / 2;
-  }
-  return static_cast<int>(fresh) < config_.nodes - 1;
+  return write_share_.reachable_siblings(now) < config_.nodes - 1;
 }
 
 // Through the ledger, where siblings cannot be told.
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -16,7 +16,6 @@
 
 #include <atomic>
 #include <condition_variable>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -35,6 +34,7 @@
 #include "daemon/read_barrier.h"
 #include "mesh/mesh.h"
 #include "net/server.h"
+#include "net/write_share.h"
 #include "state/client.h"
 #include "state/connection_pool.h"
 
@@ -90,7 +90,7 @@
   void publish_read_to(std::unique_lock<std::mutex>& lock, state::Client& client);
   void hear(const mesh::View& v);
   void check_limits(size_t machines);  // under mutex_
-  void share_writes();                 // under mutex_
+  void share_writes();                 // under mutex_: by demand, as far as it is known
   bool alone(double now) const;        // no sibling answers, nor does the state service
   std::string new_mark();              // under mutex_
   mesh::View view() const;
@@ -145,14 +145,9 @@
   // Names this process among all that ever had its label: marks of a predecessor are never ours.
   std::string incarnation_;
   uint64_t marks_ = 0;
-  struct Need {
-    double writes = 0, at = -1e9;
-  };
-  nlohmann::json image_hints_;         // the latest that a leader told
-  uint64_t image_hints_token_ = 0;     // which one
-  std::map<std::string, Need> needs_;  // of changes a second, by sibling
-  double need_ = 0;                    // our own
-  double need_at_ = 0;
+  nlohmann::json image_hints_;      // the latest that a leader told
+  uint64_t image_hints_token_ = 0;  // which one
+  net::WriteShare write_share_;     // under mutex_
 };
 
 double steady_now();
