Users' requests: class UserApi behind the narrow interface JobLedger, apart from Node

Submissions, polls and cancellations move from Node to UserApi; Node implements JobLedger for it (the copy of the ledger is read under the node's mutex, as before) and keeps what workers, health checks and siblings ask, now in daemon/node_http.cpp. Submissions and cancellations are short steps; the order of checks, what is checked under the mutex and all answers stay. steady_now() gets a header of its own. Unit tests against a ledger in memory: barriers before refusals, conflicts, late polls, what is not told, Retry-After.

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -8,6 +8,8 @@
 #include <map>
 #include <utility>
 
+#include "net/steady_clock.h"
+
 namespace rookdyke {
 
 namespace {
@@ -48,10 +50,6 @@
 
 }  // namespace
 
-double steady_now() {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 std::string_view to_string(Role r) {
   switch (r) {
     case Role::follower:
@@ -73,6 +71,7 @@
       state_budgets_(config_.state_rps, config_.write_rps),
       cloud_budget_(config_.cloud_rps),
       state_connections_(config_.state, state_budgets_, kUserConnections),
+      user_api_(config_.core, *this),
       random_(std::random_device{}()),
       write_share_(config_.core.label, labels_of(config_.siblings), config_.nodes,
                    config_.write_rps) {
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -16,6 +16,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -24,6 +25,7 @@
 #include <thread>
 #include <vector>
 
+#include "api/user_api.h"
 #include "cloud/client.h"
 #include "config/config.h"
 #include "core/cancellations.h"
@@ -47,32 +49,33 @@
 enum class Role : uint8_t { follower, campaigning, leading, doubtful, resting };
 std::string_view to_string(Role r);
 
-class Node {
+class Node : private JobLedger {
  public:
   explicit Node(Config config);
-  ~Node();
+  ~Node() override;
   bool start();
   void stop();
   int port() const { return api_->port(); }
   Role role() const;
 
  private:
-  // -- api/api.cpp
+  // -- node_http.cpp: JobLedger, for the users' requests
+  bool wait_for_barrier(double timeout_s) override;
+  void read(const std::function<void(const Mirror&)>& look) const override;
+  std::vector<TypeInfo> machine_types() const override;
+  std::string transaction_mark() override;
+  std::optional<ledger::Result> commit(const ledger::Transaction& t, double deadline) override;
+  void apply_committed(const wire::Row& row) override;
+  bool may_say_aborted(const std::string& id, double deadline, uint64_t leader) override;
+  bool siblings_are_served() const override;
+  // -- node_http.cpp: other requests
   void serve(const httplib::Request& req, httplib::Response& res);
-  void submit(const httplib::Request& req, httplib::Response& res);
-  void poll(const std::string& id, httplib::Response& res);
-  void abort(const std::string& id, httplib::Response& res);
   void report(const httplib::Request& req, httplib::Response& res);
   void health(httplib::Response& res);
-  void later(httplib::Response& res, const char* why, bool elsewhere = false);
-  void answer_job(const std::string& id, const JobAnswer& a, bool counts, double deadline,
-                  httplib::Response& res);
-  bool may_say_aborted(const std::string& id, double deadline, uint64_t leader = 0);
   void serve_mesh(const httplib::Request& req, httplib::Response& res);
-  uint64_t take_cancelled(const mesh::Cancelled& c);
-  std::optional<ledger::Result> settle(const ledger::Transaction& t, double deadline);
 
   // -- node.cpp
+  uint64_t take_cancelled(const mesh::Cancelled& c);
   void watch_loop();
   bool reload(state::Client& client);
   void apply(const wire::Row& row);  // under mutex_
@@ -139,6 +142,7 @@
   net::Budget cloud_budget_;
   state::ConnectionPool state_connections_;  // for the users' requests
 
+  UserApi user_api_;
   std::unique_ptr<net::Server> api_, mesh_;
   std::vector<std::thread> threads_;
   std::mt19937 random_;
@@ -150,6 +154,4 @@
   net::WriteShare write_share_;     // under mutex_
 };
 
-double steady_now();
-
 }  // namespace rookdyke
--- /dev/null
+++ b/tests/user_api_test.cpp
@@ -0,0 +1,335 @@
+#include "api/user_api.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "net/steady_clock.h"
+
+namespace rookdyke {
+namespace {
+
+using ledger::Outcome;
+using ledger::Standing;
+using nlohmann::json;
+
+constexpr const char* kJob = "wk-000001";
+constexpr uint64_t kLeader = 3;  // its token
+constexpr uint64_t kVersion = 5;
+
+// A replica's ledger in memory: what a test says that it answers.
+class FakeLedger : public JobLedger {
+ public:
+  bool wait_for_barrier(double) override {
+    ++barriers;
+    if (barrier_ok && on_barrier) on_barrier();
+    return barrier_ok;
+  }
+  void read(const std::function<void(const Mirror&)>& look) const override { look(mirror); }
+  std::vector<TypeInfo> machine_types() const override { return types; }
+  std::string transaction_mark() override { return "mark." + std::to_string(++marks); }
+  std::optional<ledger::Result> commit(const ledger::Transaction& transaction, double) override {
+    committed.push_back(transaction);
+    if (results.empty()) return std::nullopt;
+    const auto result = results.front();
+    results.pop_front();
+    return result;
+  }
+  void apply_committed(const wire::Row& row) override { mirror.put(row.key, row.value, row.stamp); }
+  bool may_say_aborted(const std::string& job, double, uint64_t leader) override {
+    asked_about.push_back(job);
+    leader_at_write = leader;
+    return leader_knows;
+  }
+  bool siblings_are_served() const override { return siblings_served; }
+
+  void put_job(Standing standing, uint64_t version = kVersion) {
+    ledger::JobRow row;
+    row.standing = standing;
+    row.tasks = 4;
+    row.per = 4;
+    row.spec = JobSpec{};
+    mirror.put(ledger::job_key(kJob), ledger::encode(row), version);
+  }
+  void set_leader() { mirror.put(ledger::kLeaderKey, {{"label", "n-a"}, {"w", "m"}}, kLeader); }
+  void answer_commits(Outcome outcome, uint64_t revision = 9) {
+    ledger::Result result;
+    result.outcome = outcome;
+    result.revision = revision;
+    results.push_back(result);
+  }
+
+  Mirror mirror;
+  std::vector<TypeInfo> types;
+  bool barrier_ok = true, leader_knows = true, siblings_served = false;
+  std::function<void()> on_barrier;  // what it brings
+  std::deque<ledger::Result> results;
+  int barriers = 0, marks = 0;
+  std::vector<ledger::Transaction> committed;
+  std::vector<std::string> asked_about;
+  uint64_t leader_at_write = 0;
+};
+
+json description() {
+  return {{"id", kJob},         {"lot", "l"},      {"crew", "t"},       {"shape", "array"},
+          {"rank", "standard"}, {"shifts", 4},     {"cpus", 1.0},       {"gpus", 0.0},
+          {"mem_gb", 1.0},      {"kit", "i"},      {"image_gb", 0.0},   {"one_zone", false},
+          {"scatter", false},   {"loaners", true}, {"expected_s", 1.0}, {"marker_s", 0.0},
+          {"stow_s", 0.0}};
+}
+
+class UserApiTest : public testing::Test {
+ protected:
+  UserApiTest() : api(settings, ledger) {
+    settings.zones = {"a"};
+    settings.teams = {{"t", 0, 2, 0, 0}};
+    TypeInfo box;
+    box.name = "box";
+    box.size = {4, 0, 8};
+    ledger.types = {box};
+  }
+  httplib::Response ask(const std::string& method, const std::string& target,
+                        const std::string& body = "") {
+    httplib::Request request;
+    request.method = method;
+    request.target = target;
+    request.body = body;
+    httplib::Response response;
+    api.serve(request, response);
+    return response;
+  }
+  httplib::Response submit(const json& body = description()) {
+    return ask("POST", "/v2/runs", wire::pack(body));
+  }
+  httplib::Response poll() { return ask("GET", std::string("/v2/runs/") + kJob); }
+  httplib::Response abort() { return ask("POST", std::string("/v2/runs/") + kJob + "/abort"); }
+  static std::string standing(const httplib::Response& response) {
+    return wire::unpack(response.body).value_or(json()).value("standing", "");
+  }
+  // 503 says when to come back.
+  static void expect_refusal(const httplib::Response& response, bool closes) {
+    EXPECT_EQ(response.status, 503);
+    const int after = std::stoi("0" + response.get_header_value("Retry-After"));
+    EXPECT_GE(after, 1);
+    EXPECT_LE(after, 3);
+    EXPECT_EQ(response.get_header_value("Connection") == "close", closes);
+  }
+
+  Settings settings;
+  FakeLedger ledger;
+  UserApi api;
+};
+
+TEST_F(UserApiTest, OnlyTheUsersPathsAreServed) {
+  EXPECT_EQ(ask("GET", "/nowhere").status, 404);
+  EXPECT_EQ(ask("GET", "/v2/runs").status, 404);
+  EXPECT_EQ(ask("POST", "/v2/runs/wk-000001").status, 404);
+  EXPECT_EQ(ask("POST", "/v2/runs/%%/abort").status, 404);
+  EXPECT_EQ(ask("GET", "/v2/runs/" + std::string(5000, '(')).status, 404);
+  EXPECT_EQ(ledger.barriers, 0);
+}
+
+// ---------------------------------------------------------------- submissions
+
+TEST_F(UserApiTest, ASubmissionIsAcceptedOnceItIsCreated) {
+  ledger.answer_commits(Outcome::applied);
+  const auto response = submit();
+  EXPECT_EQ(response.status, 201);
+  EXPECT_EQ(standing(response), "pending");
+  ASSERT_EQ(ledger.committed.size(), 1u);
+  const ledger::Transaction& t = ledger.committed[0];
+  ASSERT_EQ(t.conditions.size(), 1u);  // create if absent
+  EXPECT_EQ(t.conditions[0].key, ledger::job_key(kJob));
+  EXPECT_EQ(t.conditions[0].stamp, 0u);
+  ASSERT_EQ(t.changes.size(), 1u);
+  EXPECT_EQ(t.changes[0].value.at("w"), t.mark);
+  ASSERT_TRUE(ledger.mirror.job(kJob));  // seen by the next request at once
+  EXPECT_EQ(ledger.mirror.job(kJob)->stamp, 9u);
+  EXPECT_EQ(ledger.barriers, 0);
+}
+
+TEST_F(UserApiTest, AKnownJobIsAnsweredWhateverTheBodySays) {
+  ledger.put_job(Standing::open);
+  json other = description();
+  other["crew"] = "nobody";
+  EXPECT_EQ(submit(other).status, 200);
+  EXPECT_EQ(ledger.barriers, 1);
+  ledger.put_job(Standing::done, kVersion + 1);
+  other["shifts"] = 0;
+  EXPECT_EQ(submit(other).status, 200);
+  EXPECT_EQ(ledger.barriers, 1);  // final: no newer answer can exist
+  EXPECT_TRUE(ledger.committed.empty());
+}
+
+TEST_F(UserApiTest, NothingIsFinallyRefusedBeforeABarrier) {
+  json malformed = description(), impossible = description();
+  malformed["shifts"] = 0;
+  impossible["crew"] = "nobody";
+  EXPECT_EQ(submit(malformed).status, 400);
+  EXPECT_EQ(submit(impossible).status, 422);
+  EXPECT_EQ(ledger.barriers, 2);
+  ledger.barrier_ok = false;
+  expect_refusal(submit(malformed), false);
+  expect_refusal(submit(impossible), false);
+  // Another replica accepted it meanwhile.
+  ledger.barrier_ok = true;
+  ledger.on_barrier = [this] { ledger.put_job(Standing::open); };
+  EXPECT_EQ(submit(malformed).status, 200);
+  EXPECT_TRUE(ledger.committed.empty());
+}
+
+TEST_F(UserApiTest, AnImpossibleJobThatAnotherReplicaAcceptedIsKnown) {
+  json impossible = description();
+  impossible["crew"] = "nobody";
+  ledger.on_barrier = [this] { ledger.put_job(Standing::open); };
+  EXPECT_EQ(submit(impossible).status, 200);
+}
+
+TEST_F(UserApiTest, ADescriptionThatDoesNotFitARowIsRefused) {
+  settings.value_bytes = 64;
+  EXPECT_EQ(submit().status, 400);
+  EXPECT_EQ(ledger.barriers, 1);
+  EXPECT_TRUE(ledger.committed.empty());
+}
+
+TEST_F(UserApiTest, WithoutMachineTypesNothingIsDecided) {
+  ledger.types.clear();
+  expect_refusal(submit(), false);
+  EXPECT_TRUE(ledger.committed.empty());
+}
+
+TEST_F(UserApiTest, ASubmissionWithoutAnOutcomeIsNotAccepted) {
+  expect_refusal(submit(), false);  // none in time
+  ledger.answer_commits(Outcome::refused);
+  expect_refusal(submit(), false);
+  EXPECT_FALSE(ledger.mirror.job(kJob));
+}
+
+TEST_F(UserApiTest, ACopyOfASubmissionThatCameFirstAnswersIt) {
+  ledger.answer_commits(Outcome::conflict);
+  ledger.on_barrier = [this] { ledger.put_job(Standing::open); };
+  EXPECT_EQ(submit().status, 200);
+  // The barrier shows none: nothing is known, so nothing is said.
+  ledger.mirror = Mirror();
+  ledger.on_barrier = nullptr;
+  ledger.answer_commits(Outcome::conflict);
+  expect_refusal(submit(), false);
+}
+
+// ---------------------------------------------------------------- polls
+
+TEST_F(UserApiTest, APollIsAnsweredAfterABarrierOnly) {
+  EXPECT_EQ(poll().status, 404);
+  ledger.put_job(Standing::open);
+  EXPECT_EQ(poll().status, 200);
+  EXPECT_EQ(ledger.barriers, 2);
+  ledger.barrier_ok = false;
+  expect_refusal(poll(), false);
+  ledger.mirror = Mirror();
+  expect_refusal(poll(), false);  // not even that there is no such job
+}
+
+TEST_F(UserApiTest, AFinalStateNeedsNoBarrier) {
+  ledger.put_job(Standing::done);
+  ledger.barrier_ok = false;
+  EXPECT_EQ(standing(poll()), "done");
+  EXPECT_EQ(ledger.barriers, 0);
+}
+
+TEST_F(UserApiTest, APollThatTookTooLongIsNotAnswered) {
+  ledger.put_job(Standing::open);
+  ledger.on_barrier = [] { std::this_thread::sleep_for(std::chrono::milliseconds(2100)); };
+  expect_refusal(poll(), false);
+}
+
+TEST_F(UserApiTest, NobodyHearsOfACancellationThatTheLeaderMayNotKnow) {
+  ledger.put_job(Standing::aborted);
+  ledger.leader_knows = false;
+  expect_refusal(poll(), true);
+  expect_refusal(submit(), true);
+  expect_refusal(abort(), true);
+  EXPECT_EQ(ledger.asked_about.size(), 3u);
+  ledger.leader_knows = true;
+  EXPECT_EQ(standing(poll()), "aborted");
+  EXPECT_EQ(standing(submit()), "aborted");
+  EXPECT_EQ(standing(abort()), "aborted");
+  EXPECT_TRUE(ledger.committed.empty());
+}
+
+// ---------------------------------------------------------------- cancellations
+
+TEST_F(UserApiTest, ACancellationIsWrittenOnConditionOfTheJobAndTheLeader) {
+  ledger.put_job(Standing::open);
+  ledger.set_leader();
+  ledger.answer_commits(Outcome::applied);
+  EXPECT_EQ(standing(abort()), "aborted");
+  ASSERT_EQ(ledger.committed.size(), 1u);
+  const auto& conditions = ledger.committed[0].conditions;
+  ASSERT_EQ(conditions.size(), 2u);
+  EXPECT_EQ(conditions[0].key, ledger::job_key(kJob));
+  EXPECT_EQ(conditions[0].stamp, kVersion);
+  EXPECT_EQ(conditions[1].key, ledger::kLeaderKey);
+  EXPECT_EQ(conditions[1].stamp, kLeader);
+  EXPECT_EQ(ledger.leader_at_write, kLeader);
+  EXPECT_EQ(ledger.mirror.job(kJob)->row.standing, Standing::aborted);
+  EXPECT_TRUE(ledger.mirror.job(kJob)->row.spec);  // it counts for limits until its tasks are gone
+}
+
+TEST_F(UserApiTest, WhileNobodyLeadsACancellationIsWrittenAndNotTold) {
+  ledger.put_job(Standing::open);
+  ledger.leader_knows = false;
+  ledger.answer_commits(Outcome::applied);
+  expect_refusal(abort(), true);
+  ASSERT_EQ(ledger.committed.size(), 1u);
+  EXPECT_EQ(ledger.committed[0].conditions.size(), 1u);
+  EXPECT_EQ(ledger.leader_at_write, 0u);
+}
+
+TEST_F(UserApiTest, ACancellationThatMeetsAnotherChangeLooksAgain) {
+  ledger.put_job(Standing::open);
+  ledger.answer_commits(Outcome::conflict);
+  ledger.on_barrier = [this] {
+    if (ledger.barriers == 2) ledger.put_job(Standing::done, kVersion + 1);
+  };
+  EXPECT_EQ(standing(abort()), "done");  // it ended first: that stays
+  EXPECT_EQ(ledger.committed.size(), 1u);
+  EXPECT_EQ(ledger.barriers, 2);
+}
+
+TEST_F(UserApiTest, ACancellationWithoutABarrierOrAnOutcomeIsNotTold) {
+  EXPECT_EQ(abort().status, 404);
+  ledger.put_job(Standing::open);
+  expect_refusal(abort(), false);
+  ledger.answer_commits(Outcome::refused);
+  expect_refusal(abort(), false);
+  ledger.barrier_ok = false;
+  expect_refusal(abort(), false);
+  EXPECT_EQ(ledger.mirror.job(kJob)->row.standing, Standing::open);
+  EXPECT_TRUE(ledger.asked_about.empty());
+}
+
+// ---------------------------------------------------------------- refusals
+
+TEST_F(UserApiTest, AReplicaAloneInItsTroubleLetsTheConnectionGo) {
+  ledger.barrier_ok = false;
+  expect_refusal(poll(), false);
+  ledger.siblings_served = true;
+  expect_refusal(poll(), true);
+}
+
+TEST_F(UserApiTest, RefusalsSpreadTheReturns) {
+  ledger.barrier_ok = false;
+  std::set<std::string> after;
+  for (int i = 0; i < 3; ++i) after.insert(poll().get_header_value("Retry-After"));
+  EXPECT_EQ(after, (std::set<std::string>{"1", "2", "3"}));
+}
+
+}  // namespace
+}  // namespace rookdyke
