The watcher's and the leadership's loops become short steps

Node::watch_loop: wait, read all rows where needed, watch, apply, report to the barrier. Node::lead_loop: view, renew and apply the outcome, run for leader, resign. Order of requests, locks and decisions stays; literal figures got names.

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -32,6 +32,14 @@
 constexpr size_t kTellAtOnce = 256;  // cancellations in a message to the leader
 constexpr double kEagerGap = 0.06;   // rounds follow events no closer than this
 constexpr int kReloadRows = 500;
+// Requests about the lease are given up sooner than others: the lease does not wait.
+constexpr double kLeaseTimeout = 0.8;
+constexpr double kCandidacyJitter = 0.3;  // candidates wait up to this long before they try
+// Looks for a vacant leader key follow one another so fast while nobody leads, and while one does.
+constexpr double kWaitVacant = 0.1;
+constexpr double kWaitLed = 0.5;
+constexpr double kWatchShare = 0.45;   // of a node's requests to the state service: for watches
+constexpr double kShortestGap = 0.02;  // between two watches, and between two renewals
 // After a look at the ledger that failed, the next one follows this much later, or at the next
 // call.
 constexpr double kRetryWatch = 0.15;
@@ -179,80 +187,101 @@
   return true;
 }
 
+// What the watcher's thread keeps between its reads.
+struct Node::Watcher {
+  state::Client client;
+  bool loaded = false;     // all rows were read; only changes are missing
+  double last_at = 0;      // the last read was begun
+  double answered_at = 0;  // a watch was answered last
+};
+
+// A watch that holds nothing back is a read of the current revision and of all changes up to
+// it in one request: each is a barrier for every poll that was waiting when it was sent.
 void Node::watch_loop() {
-  // A watch that holds nothing back is a read of the current revision and of all changes up to
-  // it in one request: each is a barrier for every poll that was waiting when it was sent.
-  state::Client client(config_.state, state_budgets_);
-  bool loaded = false;
-  double last = 0, followed = 0;
+  Watcher watcher{state::Client(config_.state, state_budgets_)};
   while (!stop_) {
-    double interval, gap;
-    {
-      std::lock_guard lock(mutex_);
-      const bool lead = leads();
-      interval = lead ? config_.watch_s : config_.follow_s;
-      const double share =
-          lead ? kLeaderShare : (1 - kLeaderShare) / std::max(1, config_.nodes - 1);
-      gap = std::max(0.02, 1 / (0.45 * share * config_.state_rps));
-    }
-    const double until = last + interval - steady_now();
-    if (loaded && until > 0) read_barrier_.wait_for_caller(until);
-    const double soon = last + gap - steady_now();
-    if (soon > 0 && !stop_) std::this_thread::sleep_for(std::chrono::duration<double>(soon));
+    wait_for_next_read(watcher);
     const ReadBarrier::Read read = read_barrier_.begin_read();
     if (stop_) break;
-    last = steady_now();
-    bool ok = false;
-    // A watch answers with all changes since, whatever their size: those of two minutes cut off
-    // take more memory than a controller has, and had two of five killed (docs/rounds.md, round
-    // 20). The rows as they are do not; so one that was long without an answer asks first how far
-    // the ledger has gone on.
-    bool reachable = true;
-    if (loaded && steady_now() - followed > kLongBehind) {
-      const auto head = client.range(ledger::kPrefix, "", 1);
-      reachable = head.has_value();
-      if (head && head->revision > revision_ + kMostBehind) {
-        spdlog::info("ledger: {} changes behind, reading anew", head->revision - revision_);
-        loaded = false;
-      }
-    }
-    if (reachable && !loaded) reachable = loaded = reload(client);
+    watcher.last_at = steady_now();
+    const bool reachable = read_rows_if_needed(watcher);
     // The watch catches up with what changed between the pages of a reload.
-    state::Client::Watch w;
+    state::Client::Watch changes;
     const double sent = steady_now();
-    if (reachable) w = client.watch(ledger::kPrefix, revision_, 0);
-    if (w.kind == state::Client::Watch::Kind::too_old) {
-      spdlog::warn("ledger: watch from revision {} is too old, reading anew", revision_);
-      loaded = false;
-      continue;
+    if (reachable) changes = watcher.client.watch(ledger::kPrefix, revision_, 0);
+    switch (changes.kind) {
+      case state::Client::Watch::Kind::too_old:
+        spdlog::warn("ledger: watch from revision {} is too old, reading anew", revision_);
+        watcher.loaded = false;
+        break;  // the callers wait for the next read
+      case state::Client::Watch::Kind::events:
+        watcher.answered_at = steady_now();
+        read_barrier_.answered();
+        apply_changes(changes.rows, sent);
+        read_barrier_.succeeded(read);
+        break;
+      case state::Client::Watch::Kind::failed:
+        read_barrier_.failed(read, watcher.loaded ? kRetryWatch : kRetryReload);
+        break;
     }
-    if (w.kind == state::Client::Watch::Kind::events) {
-      ok = true;
-      followed = steady_now();
-      read_barrier_.answered();
-      std::lock_guard lock(mutex_);
-      for (const wire::Row& r : w.rows.rows) apply(r);
-      revision_ = std::max(revision_, w.rows.revision);
-      state_ok_at_ = steady_now();
-      loaded_ = true;
-      if (mirror_.leader_stamp() > highest_token_ && !mirror_.leader().empty()) {
-        highest_token_ = mirror_.leader_stamp();
-        highest_leader_ = mirror_.leader();
-      }
-      if (core_ && core_->eager()) engine_cv_.notify_one();
-      horizon_.proven(sent);
-      if (leads() && mirror_.leader_stamp() > token_)
-        step_down(Role::follower, "the leader key is not ours");
-      if (leads()) cancellation_gate_.leader_has_read(revision_);
-      cancellation_gate_.leader_has_read(mirror_.read_to());
-      if (must_publish()) cancellation_gate_.wake_notifier();
-      if (!leads() && mirror_.leader().empty()) lead_cv_.notify_all();
+  }
+}
+
+// Until a caller waits or it is time, but no sooner than this node's part of the requests allows.
+void Node::wait_for_next_read(const Watcher& watcher) {
+  double interval, gap;
+  {
+    std::lock_guard lock(mutex_);
+    const bool lead = leads();
+    interval = lead ? config_.watch_s : config_.follow_s;
+    const double share = lead ? kLeaderShare : (1 - kLeaderShare) / std::max(1, config_.nodes - 1);
+    gap = std::max(kShortestGap, 1 / (kWatchShare * share * config_.state_rps));
+  }
+  const double until = watcher.last_at + interval - steady_now();
+  if (watcher.loaded && until > 0) read_barrier_.wait_for_caller(until);
+  const double soon = watcher.last_at + gap - steady_now();
+  if (soon > 0 && !stop_) std::this_thread::sleep_for(std::chrono::duration<double>(soon));
+}
+
+// Reads all rows if none were read yet, or if too much has changed since. False: the ledger did not
+// answer.
+//
+// A watch answers with all changes since, whatever their size: those of two minutes cut off
+// take more memory than a controller has, and had two of five killed (docs/rounds.md, round
+// 20). The rows as they are do not; so one that was long without an answer asks first how far
+// the ledger has gone on.
+bool Node::read_rows_if_needed(Watcher& watcher) {
+  if (watcher.loaded && steady_now() - watcher.answered_at > kLongBehind) {
+    const auto head = watcher.client.range(ledger::kPrefix, "", 1);
+    if (!head) return false;
+    if (head->revision > revision_ + kMostBehind) {
+      spdlog::info("ledger: {} changes behind, reading anew", head->revision - revision_);
+      watcher.loaded = false;
     }
-    if (ok)
-      read_barrier_.succeeded(read);
-    else
-      read_barrier_.failed(read, loaded ? kRetryWatch : kRetryReload);
   }
+  if (!watcher.loaded) watcher.loaded = reload(watcher.client);
+  return watcher.loaded;
+}
+
+// What a watch that was sent then has answered.
+void Node::apply_changes(const wire::Rows& changes, double sent) {
+  std::lock_guard lock(mutex_);
+  for (const wire::Row& r : changes.rows) apply(r);
+  revision_ = std::max(revision_, changes.revision);
+  state_ok_at_ = steady_now();
+  loaded_ = true;
+  if (mirror_.leader_stamp() > highest_token_ && !mirror_.leader().empty()) {
+    highest_token_ = mirror_.leader_stamp();
+    highest_leader_ = mirror_.leader();
+  }
+  if (core_ && core_->eager()) engine_cv_.notify_one();
+  horizon_.proven(sent);
+  if (leads() && mirror_.leader_stamp() > token_)
+    step_down(Role::follower, "the leader key is not ours");
+  if (leads()) cancellation_gate_.leader_has_read(revision_);
+  cancellation_gate_.leader_has_read(mirror_.read_to());
+  if (must_publish()) cancellation_gate_.wake_notifier();
+  if (!leads() && mirror_.leader().empty()) lead_cv_.notify_all();
 }
 
 // ---------------------------------------------------------------- leadership
@@ -381,84 +410,116 @@
   }
 }
 
-void Node::lead_loop() {
-  state::Client client(config_.state, state_budgets_, 0.8);
-  std::uniform_real_distribution<double> jitter(0.0, 0.3);
+// What the leadership's thread keeps between its rounds.
+struct Node::Leadership {
+  state::Client client;
+  std::uniform_real_distribution<double> jitter{0.0, kCandidacyJitter};
   double next_renewal = 0;
   bool held = false;  // lease_ is ours to drop once we no longer lead
+};
+
+// One moment of it, seen under mutex_.
+struct Node::LeadershipView {
+  Role role = Role::follower;
+  uint64_t lease = 0;
+  bool vacant = false;       // nobody leads, by a fresh look
+  bool types_known = false;  // the machine types, without which nobody can lead
+};
+
+void Node::lead_loop() {
+  Leadership leadership{state::Client(config_.state, state_budgets_, kLeaseTimeout)};
   while (!stop_) {
-    Role role;
-    uint64_t lease = 0;
-    bool vacant = false, types = false;
-    {
-      std::unique_lock lock(mutex_);
-      const double now = steady_now();
-      if (role_ == Role::resting && now >= rest_until_) set_role(Role::follower, "rested");
-      role = role_;
-      lease = lease_;
-      // Only a fresh look tells that nobody leads.
-      vacant = loaded_ && mirror_.leader().empty() && now - state_ok_at_ < 2 * config_.follow_s + 1;
-      types = !mirror_.types().empty() || !types_.empty();
-    }
-    if (role == Role::leading || role == Role::doubtful) {
-      held = true;
-      const double sent = steady_now();
-      if (sent >= next_renewal) {
-        const auto kept = client.renew(lease);
-        std::lock_guard lock(mutex_);
-        const double now = steady_now();
-        notice_stall(now);
-        lease_clock_.asked(sent);
-        if (leads()) {
-          if (kept == state::Client::Renewal::kept) {
-            lease_clock_.kept(sent);
-            horizon_.proven(sent);
-            if (role_ == Role::doubtful) set_role(Role::leading, "the lease is renewed");
-          } else if (kept == state::Client::Renewal::ended) {
-            step_down(Role::follower, "the lease ended");
-          } else if (!lease_clock_.runs(now, config_.lease_ttl_s)) {
-            if (role_ == Role::leading) set_role(Role::doubtful, "the lease could not be renewed");
-            if (now - lease_clock_.kept_at() > kMaxDoubt)
-              step_down(Role::follower, "in doubt for too long");
-          }
-        }
-        next_renewal = sent + config_.lease_ttl_s / 3;
-      }
-    } else if (held) {
-      client.drop(lease);
-      held = false;
-    } else if (role == Role::follower && vacant && types) {
-      double wait = 0;
-      {
-        std::lock_guard lock(mutex_);  // random_ serves the users' requests too
-        wait = jitter(random_);
-      }
-      std::this_thread::sleep_for(std::chrono::duration<double>(wait));
-      bool still = false;
-      {
-        std::lock_guard lock(mutex_);
-        still = role_ == Role::follower && mirror_.leader().empty();
-        if (still) set_role(Role::campaigning, "nobody leads");
-      }
-      if (still && !campaign(client)) {
-        std::lock_guard lock(mutex_);
-        if (role_ == Role::campaigning) set_role(Role::follower, "not elected");
-        if (lease_ != lease) held = true;
-      }
-      next_renewal = 0;
+    const LeadershipView seen = view_leadership();
+    if (seen.role == Role::leading || seen.role == Role::doubtful) {
+      leadership.held = true;
+      renew_lease(leadership, seen.lease);
+    } else if (leadership.held) {
+      leadership.client.drop(seen.lease);
+      leadership.held = false;
+    } else if (seen.role == Role::follower && seen.vacant && seen.types_known) {
+      run_for_leader(leadership, seen.lease);
     }
     std::unique_lock lock(mutex_);
-    const double wait = leads()                    ? std::max(0.02, next_renewal - steady_now())
-                        : mirror_.leader().empty() ? 0.1
-                                                   : 0.5;
+    const double wait = leads() ? std::max(kShortestGap, leadership.next_renewal - steady_now())
+                        : mirror_.leader().empty() ? kWaitVacant
+                                                   : kWaitLed;
     nap(lock, lead_cv_, wait);
   }
+  resign(leadership);
+}
+
+Node::LeadershipView Node::view_leadership() {
+  std::lock_guard lock(mutex_);
+  const double now = steady_now();
+  if (role_ == Role::resting && now >= rest_until_) set_role(Role::follower, "rested");
+  LeadershipView out;
+  out.role = role_;
+  out.lease = lease_;
+  // Only a fresh look tells that nobody leads.
+  out.vacant = loaded_ && mirror_.leader().empty() && now - state_ok_at_ < 2 * config_.follow_s + 1;
+  out.types_known = !mirror_.types().empty() || !types_.empty();
+  return out;
+}
+
+// Does nothing before it is time to. The outcome is applied under mutex_.
+void Node::renew_lease(Leadership& leadership, uint64_t lease) {
+  const double sent = steady_now();
+  if (sent < leadership.next_renewal) return;
+  const auto outcome = leadership.client.renew(lease);
+  std::lock_guard lock(mutex_);
+  on_renewal(outcome, sent);
+  leadership.next_renewal = sent + config_.lease_ttl_s / 3;
+}
+
+void Node::on_renewal(state::Client::Renewal outcome, double sent) {
+  const double now = steady_now();
+  notice_stall(now);
+  lease_clock_.asked(sent);
+  if (!leads()) return;
+  if (outcome == state::Client::Renewal::kept) {
+    lease_clock_.kept(sent);
+    horizon_.proven(sent);
+    if (role_ == Role::doubtful) set_role(Role::leading, "the lease is renewed");
+  } else if (outcome == state::Client::Renewal::ended) {
+    step_down(Role::follower, "the lease ended");
+  } else if (!lease_clock_.runs(now, config_.lease_ttl_s)) {
+    if (role_ == Role::leading) set_role(Role::doubtful, "the lease could not be renewed");
+    if (now - lease_clock_.kept_at() > kMaxDoubt)
+      step_down(Role::follower, "in doubt for too long");
+  }
+}
+
+// Waits a little, so that not all try at once, and campaigns if still nobody leads. `lease`: the
+// one that we knew of before.
+void Node::run_for_leader(Leadership& leadership, uint64_t lease) {
+  double wait = 0;
+  {
+    std::lock_guard lock(mutex_);  // random_ serves the users' requests too
+    wait = leadership.jitter(random_);
+  }
+  std::this_thread::sleep_for(std::chrono::duration<double>(wait));
+  bool still_vacant = false;
+  {
+    std::lock_guard lock(mutex_);
+    still_vacant = role_ == Role::follower && mirror_.leader().empty();
+    if (still_vacant) set_role(Role::campaigning, "nobody leads");
+  }
+  if (still_vacant && !campaign(leadership.client)) {
+    std::lock_guard lock(mutex_);
+    if (role_ == Role::campaigning) set_role(Role::follower, "not elected");
+    if (lease_ != lease) leadership.held = true;
+  }
+  leadership.next_renewal = 0;
+}
+
+// When the process ends: others need not wait for the lease's end.
+void Node::resign(Leadership& leadership) {
   std::unique_lock lock(mutex_);
   const uint64_t lease = lease_;
   const bool mine = leads();
   if (mine) step_down(Role::follower, "stopping");
   lock.unlock();
-  if (mine) client.drop(lease);
+  if (mine) leadership.client.drop(lease);
 }
 
 // ---------------------------------------------------------------- the core's threads
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -76,10 +76,21 @@
 
   // -- node.cpp
   uint64_t take_cancelled(const mesh::Cancelled& c);
+  struct Watcher;
   void watch_loop();
+  void wait_for_next_read(const Watcher& watcher);
+  bool read_rows_if_needed(Watcher& watcher);
   bool reload(state::Client& client);
+  void apply_changes(const wire::Rows& changes, double sent);
   void apply(const wire::Row& row);  // under mutex_
+  struct Leadership;
+  struct LeadershipView;
   void lead_loop();
+  LeadershipView view_leadership();
+  void renew_lease(Leadership& leadership, uint64_t lease);
+  void on_renewal(state::Client::Renewal outcome, double sent);  // under mutex_
+  void run_for_leader(Leadership& leadership, uint64_t lease);
+  void resign(Leadership& leadership);
   bool campaign(state::Client& client);
   void step_down(Role to, const std::string& why);  // under mutex_
   void set_role(Role to, const std::string& why);   // under mutex_; the only place that changes it
