The leader reads its memory use without holding the node's mutex

Node::check_limits opened /proc/self/statm under the mutex every 10 s. The engine now does it before it looks at what there is to do, up to one round's interval later than before, so that no notification is lost meanwhile.

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -524,7 +524,7 @@
 
 // ---------------------------------------------------------------- the core's threads
 
-// One clear warning for each limit that does not carry the fleet.
+// One clear warning for each limit that does not carry the fleet. Reads a file: mutex_ isn't held.
 void Node::check_limits(size_t machines) {
   const size_t room = connections_from_outside(config_);
   if (machines > room && !std::exchange(warned_sockets_, true))
@@ -542,7 +542,15 @@
 void Node::engine_loop() {
   std::unique_lock lock(mutex_);
   double next_summary = 0, last_round = 0;
+  std::optional<size_t> machines_to_check;
   while (!stop_) {
+    // Nothing that is notified meanwhile is lost: what there is to do is looked at only after it.
+    if (machines_to_check) {
+      lock.unlock();
+      check_limits(*machines_to_check);
+      lock.lock();
+      machines_to_check.reset();
+    }
     double interval = 0.5;
     if (const double gap = last_round + kEagerGap - steady_now(); gap > 0) {
       lock.unlock();
@@ -575,7 +583,7 @@
               "jobs {} waiting {} live {}; machines ready {} booting {} draining {} "
               "silent {}, target {}",
               s.jobs, s.waiting, s.live, s.ready, s.booting, s.draining, s.silent, s.target);
-          check_limits(s.ready + s.booting + s.draining);
+          machines_to_check = s.ready + s.booting + s.draining;
         }
       }
     } else if (role_ == Role::doubtful && core_ && core_->lost()) {
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -103,7 +103,7 @@
   bool must_publish() const;  // under mutex_
   void publish_read_to(std::unique_lock<std::mutex>& lock, state::Client& client);
   void hear(const mesh::View& v);
-  void check_limits(size_t machines);  // under mutex_
+  void check_limits(size_t machines);  // engine's alone, without mutex_
   void share_writes();                 // under mutex_: by demand, as far as it is known
   bool alone(double now) const;        // no sibling answers, nor does the state service
   std::string new_mark();              // under mutex_
@@ -131,8 +131,8 @@
   std::unique_ptr<Core> core_;
   uint64_t token_ = 0, lease_ = 0;
   double rest_until_ = 0;
-  bool warned_sockets_ = false, warned_memory_ = false;
-  LeaseClock lease_clock_;       // of our lease, and of standing still
+  bool warned_sockets_ = false, warned_memory_ = false;  // engine's own
+  LeaseClock lease_clock_;                               // of our lease, and of standing still
   std::vector<TypeInfo> types_;  // as the cloud tells, until the ledger has them
   uint64_t highest_token_ = 0;   // heard of from anybody
   std::string highest_leader_;
