--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -5,8 +5,11 @@
 
 #include <algorithm>
 #include <fstream>
+#include <map>
 #include <utility>
 
+#include "net/steady_clock.h"
+
 namespace rookdyke {
 
 namespace {
@@ -21,26 +24,40 @@
 // of an outage: it leaves its workers to whom the others elect.
 constexpr double kAloneAfter = 5;
 constexpr double kHintsEvery = 5;
-constexpr double kNeedFresh = 6;     // what a sibling said of its need counts this long
 constexpr size_t kApiThreads = 160;  // requests served at once; users' wait for the state service
 constexpr size_t kMeshThreads = 8;
+constexpr size_t kUserConnections = 4;  // to the state service, for the users' requests
 constexpr int kDirectThreads = 3;
 constexpr double kPublishEvery = 0.6;
 constexpr size_t kTellAtOnce = 256;  // cancellations in a message to the leader
 constexpr double kEagerGap = 0.06;   // rounds follow events no closer than this
 constexpr int kReloadRows = 500;
+// Requests about the lease are given up sooner than others: the lease does not wait.
+constexpr double kLeaseTimeout = 0.8;
+constexpr double kCandidacyJitter = 0.3;  // candidates wait up to this long before they try
+// Looks for a vacant leader key follow one another so fast while nobody leads, and while one does.
+constexpr double kWaitVacant = 0.1;
+constexpr double kWaitLed = 0.5;
+constexpr double kWatchShare = 0.45;   // of a node's requests to the state service: for watches
+constexpr double kShortestGap = 0.02;  // between two watches, and between two renewals
+// After a look at the ledger that failed, the next one follows this much later, or at the next
+// call.
+constexpr double kRetryWatch = 0.15;
+constexpr double kRetryReload = 0.3;
 // After this long without an answer the ledger is asked how far it has gone on; beyond so many
 // changes it is read anew.
 constexpr double kLongBehind = 3;
 constexpr uint64_t kMostBehind = 200;
 constexpr double kPulseEvery = 0.25;  // the process looks at itself this often (core/lease_clock.h)
 
-}  // namespace
-
-double steady_now() {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+std::vector<std::string> labels_of(const std::vector<Sibling>& siblings) {
+  std::vector<std::string> labels;
+  for (const Sibling& s : siblings) labels.push_back(s.label);
+  return labels;
 }
 
+}  // namespace
+
 std::string_view to_string(Role r) {
   switch (r) {
     case Role::follower:
@@ -61,7 +78,11 @@
     : config_(std::move(config)),
       state_budgets_(config_.state_rps, config_.write_rps),
       cloud_budget_(config_.cloud_rps),
-      random_(std::random_device{}()) {
+      state_connections_(config_.state, state_budgets_, kUserConnections),
+      user_api_(config_.core, *this),
+      random_(std::random_device{}()),
+      write_share_(config_.core.label, labels_of(config_.siblings), config_.nodes,
+                   config_.write_rps) {
   incarnation_ = config_.core.label + "." +
                  std::to_string(std::chrono::system_clock::now().time_since_epoch().count()) + "." +
                  std::to_string(random_());
@@ -87,10 +108,8 @@
   }
   if (!api_->start() || !mesh_->start()) return false;
   lease_clock_ = LeaseClock(steady_now());
-  std::vector<std::string> siblings;
-  for (const Sibling& s : config_.siblings) siblings.push_back(s.label);
   horizon_ = config_.nodes == 1 ? CancellationHorizon::of_only_controller()
-                                : CancellationHorizon(std::move(siblings));
+                                : CancellationHorizon(labels_of(config_.siblings));
   threads_.emplace_back([this] { pulse_loop(); });
   threads_.emplace_back([this] { watch_loop(); });
   threads_.emplace_back([this] { lead_loop(); });
@@ -113,14 +132,9 @@
     engine_cv_.notify_all();
     lead_cv_.notify_all();
     mesh_cv_.notify_all();
-    tell_cv_.notify_all();
-    told_cv_.notify_all();
-  }
-  {
-    std::lock_guard lock(barrier_mutex_);
-    watch_cv_.notify_all();
-    barrier_cv_.notify_all();
+    cancellation_gate_.stop();
   }
+  read_barrier_.stop();
   for (std::thread& t : threads_) t.join();
   threads_.clear();
   api_->halt();
@@ -133,16 +147,6 @@
 
 // ---------------------------------------------------------------- the ledger's mirror
 
-bool Node::barrier(double timeout_s) {
-  if (state_down()) return false;  // known to fail: said at once
-  std::unique_lock lock(barrier_mutex_);
-  const uint64_t mine = ++barrier_asked_;
-  watch_cv_.notify_all();
-  barrier_cv_.wait_for(lock, std::chrono::duration<double>(timeout_s),
-                       [&] { return stop_ || barrier_done_ >= mine || barrier_failed_ >= mine; });
-  return barrier_done_ >= mine;
-}
-
 void Node::apply(const wire::Row& row) {
   if (row.erased) {
     mirror_.erase(row.key, row.stamp);
@@ -184,95 +188,101 @@
   return true;
 }
 
+// What the watcher's thread keeps between its reads.
+struct Node::Watcher {
+  state::Client client;
+  bool loaded = false;     // all rows were read; only changes are missing
+  double last_at = 0;      // the last read was begun
+  double answered_at = 0;  // a watch was answered last
+};
+
+// A watch that holds nothing back is a read of the current revision and of all changes up to
+// it in one request: each is a barrier for every poll that was waiting when it was sent.
 void Node::watch_loop() {
-  // A watch that holds nothing back is a read of the current revision and of all changes up to
-  // it in one request: each is a barrier for every poll that was waiting when it was sent.
-  state::Client client(config_.state, state_budgets_);
-  bool loaded = false;
-  double last = 0, followed = 0;
+  Watcher watcher{state::Client(config_.state, state_budgets_)};
   while (!stop_) {
-    double interval, gap;
-    {
-      std::lock_guard lock(mutex_);
-      const bool lead = leads();
-      interval = lead ? config_.watch_s : config_.follow_s;
-      const double share =
-          lead ? kLeaderShare : (1 - kLeaderShare) / std::max(1, config_.nodes - 1);
-      gap = std::max(0.02, 1 / (0.45 * share * config_.state_rps));
-    }
-    uint64_t asked = 0;
-    {
-      std::unique_lock lock(barrier_mutex_);
-      const auto due = [&] {
-        return stop_ || barrier_asked_ > std::max(barrier_done_, barrier_failed_);
-      };
-      const double until = last + interval - steady_now();
-      if (loaded && until > 0) watch_cv_.wait_for(lock, std::chrono::duration<double>(until), due);
-      const double soon = last + gap - steady_now();
-      if (soon > 0 && !stop_) {
-        lock.unlock();
-        std::this_thread::sleep_for(std::chrono::duration<double>(soon));
-        lock.lock();
-      }
-      asked = barrier_asked_;
-    }
+    wait_for_next_read(watcher);
+    const ReadBarrier::Read read = read_barrier_.begin_read();
     if (stop_) break;
-    last = steady_now();
-    bool ok = false;
-    // A watch answers with all changes since, whatever their size: those of two minutes cut off
-    // take more memory than a controller has, and had two of five killed (docs/rounds.md, round
-    // 20). The rows as they are do not; so one that was long without an answer asks first how far
-    // the ledger has gone on.
-    bool reachable = true;
-    if (loaded && steady_now() - followed > kLongBehind) {
-      const auto head = client.range(ledger::kPrefix, "", 1);
-      reachable = head.has_value();
-      if (head && head->revision > revision_ + kMostBehind) {
-        spdlog::info("ledger: {} changes behind, reading anew", head->revision - revision_);
-        loaded = false;
-      }
-    }
-    if (reachable && !loaded) reachable = loaded = reload(client);
+    watcher.last_at = steady_now();
+    const bool reachable = read_rows_if_needed(watcher);
     // The watch catches up with what changed between the pages of a reload.
-    state::Client::Watch w;
+    state::Client::Watch changes;
     const double sent = steady_now();
-    if (reachable) w = client.watch(ledger::kPrefix, revision_, 0);
-    if (w.kind == state::Client::Watch::Kind::too_old) {
-      spdlog::warn("ledger: watch from revision {} is too old, reading anew", revision_);
-      loaded = false;
-      continue;
+    if (reachable) changes = watcher.client.watch(ledger::kPrefix, revision_, 0);
+    switch (changes.kind) {
+      case state::Client::Watch::Kind::too_old:
+        spdlog::warn("ledger: watch from revision {} is too old, reading anew", revision_);
+        watcher.loaded = false;
+        break;  // the callers wait for the next read
+      case state::Client::Watch::Kind::events:
+        watcher.answered_at = steady_now();
+        read_barrier_.answered();
+        apply_changes(changes.rows, sent);
+        read_barrier_.succeeded(read);
+        break;
+      case state::Client::Watch::Kind::failed:
+        read_barrier_.failed(read, watcher.loaded ? kRetryWatch : kRetryReload);
+        break;
     }
-    if (w.kind == state::Client::Watch::Kind::events) {
-      ok = true;
-      followed = steady_now();
-      watch_failures_ = 0;
-      std::lock_guard lock(mutex_);
-      for (const wire::Row& r : w.rows.rows) apply(r);
-      revision_ = std::max(revision_, w.rows.revision);
-      state_ok_at_ = steady_now();
-      loaded_ = true;
-      if (mirror_.leader_stamp() > highest_token_ && !mirror_.leader().empty()) {
-        highest_token_ = mirror_.leader_stamp();
-        highest_leader_ = mirror_.leader();
-      }
-      if (core_ && core_->eager()) engine_cv_.notify_one();
-      horizon_.proven(sent);
-      if (leads() && mirror_.leader_stamp() > token_)
-        step_down(Role::follower, "the leader key is not ours");
-      if (leads()) known_cancellations_.read_to(revision_);
-      known_cancellations_.read_to(mirror_.read_to());
-      told_cv_.notify_all();
-      if (must_publish()) tell_cv_.notify_one();
-      if (!leads() && mirror_.leader().empty()) lead_cv_.notify_all();
-    }
-    std::unique_lock lock(barrier_mutex_);
-    (ok ? barrier_done_ : barrier_failed_) = asked;
-    barrier_cv_.notify_all();
-    if (!ok) {
-      ++watch_failures_;
-      watch_cv_.wait_for(lock, std::chrono::milliseconds(loaded ? 150 : 300));
+  }
+}
+
+// Until a caller waits or it is time, but no sooner than this node's part of the requests allows.
+void Node::wait_for_next_read(const Watcher& watcher) {
+  double interval, gap;
+  {
+    std::lock_guard lock(mutex_);
+    const bool lead = leads();
+    interval = lead ? config_.watch_s : config_.follow_s;
+    const double share = lead ? kLeaderShare : (1 - kLeaderShare) / std::max(1, config_.nodes - 1);
+    gap = std::max(kShortestGap, 1 / (kWatchShare * share * config_.state_rps));
+  }
+  const double until = watcher.last_at + interval - steady_now();
+  if (watcher.loaded && until > 0) read_barrier_.wait_for_caller(until);
+  const double soon = watcher.last_at + gap - steady_now();
+  if (soon > 0 && !stop_) std::this_thread::sleep_for(std::chrono::duration<double>(soon));
+}
+
+// Reads all rows if none were read yet, or if too much has changed since. False: the ledger did not
+// answer.
+//
+// A watch answers with all changes since, whatever their size: those of two minutes cut off
+// take more memory than a controller has, and had two of five killed (docs/rounds.md, round
+// 20). The rows as they are do not; so one that was long without an answer asks first how far
+// the ledger has gone on.
+bool Node::read_rows_if_needed(Watcher& watcher) {
+  if (watcher.loaded && steady_now() - watcher.answered_at > kLongBehind) {
+    const auto head = watcher.client.range(ledger::kPrefix, "", 1);
+    if (!head) return false;
+    if (head->revision > revision_ + kMostBehind) {
+      spdlog::info("ledger: {} changes behind, reading anew", head->revision - revision_);
+      watcher.loaded = false;
     }
   }
+  if (!watcher.loaded) watcher.loaded = reload(watcher.client);
+  return watcher.loaded;
+}
+
+// What a watch that was sent then has answered.
+void Node::apply_changes(const wire::Rows& changes, double sent) {
+  std::lock_guard lock(mutex_);
+  for (const wire::Row& r : changes.rows) apply(r);
+  revision_ = std::max(revision_, changes.revision);
+  state_ok_at_ = steady_now();
+  loaded_ = true;
+  if (mirror_.leader_stamp() > highest_token_ && !mirror_.leader().empty()) {
+    highest_token_ = mirror_.leader_stamp();
+    highest_leader_ = mirror_.leader();
+  }
+  if (core_ && core_->eager()) engine_cv_.notify_one();
+  horizon_.proven(sent);
+  if (leads() && mirror_.leader_stamp() > token_)
+    step_down(Role::follower, "the leader key is not ours");
+  if (leads()) cancellation_gate_.leader_has_read(revision_);
+  cancellation_gate_.leader_has_read(mirror_.read_to());
+  if (must_publish()) cancellation_gate_.wake_notifier();
+  if (!leads() && mirror_.leader().empty()) lead_cv_.notify_all();
 }
 
 // ---------------------------------------------------------------- leadership
@@ -292,34 +302,9 @@
 
 std::string Node::new_mark() { return incarnation_ + "." + std::to_string(++marks_); }
 
-// The changes a second that all nodes together may make go by need. Submissions, which the
-// followers write, have what they asked for lately and half as much again, up to a part that
-// depends on whether the leader has much to write; the leader has the rest.
 void Node::share_writes() {
-  if (config_.nodes <= 1) return state_budgets_.writes.set_share(0.95);
-  constexpr double kAll = 0.95;
-  // Submissions come one by one: what a node asked for in the last second says little of the next.
-  const double least = 0.2 / (config_.nodes - 1);
-  const double now = steady_now(), rate = std::max(1e-3, config_.write_rps);
   const std::string leader = leads() ? config_.core.label : highest_leader_;
-  double followers = 0, leaders = 0;
-  const auto part = [&](double need) { return 1.5 * need / rate + least; };
-  const auto count = [&](const std::string& label, double need) {
-    if (label == leader)
-      leaders = need / rate;
-    else
-      followers += part(need);
-  };
-  count(config_.core.label, need_);
-  for (const Sibling& sibling : config_.siblings) {
-    auto it = needs_.find(sibling.label);
-    const bool fresh = it != needs_.end() && now - it->second.at < kNeedFresh;
-    count(sibling.label, fresh ? it->second.writes : 0);
-  }
-  const double most = leaders > 0.25 ? 0.6 : 0.85;
-  const double scale = followers > most ? most / followers : 1;
-  state_budgets_.writes.set_share(leader == config_.core.label ? kAll - scale * followers
-                                                               : scale * part(need_));
+  state_budgets_.writes.set_share(write_share_.share(leader, steady_now()));
 }
 
 bool Node::alone(double now) const {
@@ -353,7 +338,7 @@
     return false;
   }
   // Everything that a predecessor committed lies before this key; the barrier brings it here.
-  if (!barrier(2.0)) {
+  if (!read_barrier_.wait(2.0)) {
     client.drop(*lease);
     return false;
   }
@@ -426,89 +411,121 @@
   }
 }
 
-void Node::lead_loop() {
-  state::Client client(config_.state, state_budgets_, 0.8);
-  std::uniform_real_distribution<double> jitter(0.0, 0.3);
+// What the leadership's thread keeps between its rounds.
+struct Node::Leadership {
+  state::Client client;
+  std::uniform_real_distribution<double> jitter{0.0, kCandidacyJitter};
   double next_renewal = 0;
   bool held = false;  // lease_ is ours to drop once we no longer lead
+};
+
+// One moment of it, seen under mutex_.
+struct Node::LeadershipView {
+  Role role = Role::follower;
+  uint64_t lease = 0;
+  bool vacant = false;       // nobody leads, by a fresh look
+  bool types_known = false;  // the machine types, without which nobody can lead
+};
+
+void Node::lead_loop() {
+  Leadership leadership{state::Client(config_.state, state_budgets_, kLeaseTimeout)};
   while (!stop_) {
-    Role role;
-    uint64_t lease = 0;
-    bool vacant = false, types = false;
-    {
-      std::unique_lock lock(mutex_);
-      const double now = steady_now();
-      if (role_ == Role::resting && now >= rest_until_) set_role(Role::follower, "rested");
-      role = role_;
-      lease = lease_;
-      // Only a fresh look tells that nobody leads.
-      vacant = loaded_ && mirror_.leader().empty() && now - state_ok_at_ < 2 * config_.follow_s + 1;
-      types = !mirror_.types().empty() || !types_.empty();
-    }
-    if (role == Role::leading || role == Role::doubtful) {
-      held = true;
-      const double sent = steady_now();
-      if (sent >= next_renewal) {
-        const auto kept = client.renew(lease);
-        std::lock_guard lock(mutex_);
-        const double now = steady_now();
-        notice_stall(now);
-        lease_clock_.asked(sent);
-        if (leads()) {
-          if (kept == state::Client::Renewal::kept) {
-            lease_clock_.kept(sent);
-            horizon_.proven(sent);
-            if (role_ == Role::doubtful) set_role(Role::leading, "the lease is renewed");
-          } else if (kept == state::Client::Renewal::ended) {
-            step_down(Role::follower, "the lease ended");
-          } else if (!lease_clock_.runs(now, config_.lease_ttl_s)) {
-            if (role_ == Role::leading) set_role(Role::doubtful, "the lease could not be renewed");
-            if (now - lease_clock_.kept_at() > kMaxDoubt)
-              step_down(Role::follower, "in doubt for too long");
-          }
-        }
-        next_renewal = sent + config_.lease_ttl_s / 3;
-      }
-    } else if (held) {
-      client.drop(lease);
-      held = false;
-    } else if (role == Role::follower && vacant && types) {
-      double wait = 0;
-      {
-        std::lock_guard lock(mutex_);  // random_ serves the users' requests too
-        wait = jitter(random_);
-      }
-      std::this_thread::sleep_for(std::chrono::duration<double>(wait));
-      bool still = false;
-      {
-        std::lock_guard lock(mutex_);
-        still = role_ == Role::follower && mirror_.leader().empty();
-        if (still) set_role(Role::campaigning, "nobody leads");
-      }
-      if (still && !campaign(client)) {
-        std::lock_guard lock(mutex_);
-        if (role_ == Role::campaigning) set_role(Role::follower, "not elected");
-        if (lease_ != lease) held = true;
-      }
-      next_renewal = 0;
+    const LeadershipView seen = view_leadership();
+    if (seen.role == Role::leading || seen.role == Role::doubtful) {
+      leadership.held = true;
+      renew_lease(leadership, seen.lease);
+    } else if (leadership.held) {
+      leadership.client.drop(seen.lease);
+      leadership.held = false;
+    } else if (seen.role == Role::follower && seen.vacant && seen.types_known) {
+      run_for_leader(leadership, seen.lease);
     }
     std::unique_lock lock(mutex_);
-    const double wait = leads()                    ? std::max(0.02, next_renewal - steady_now())
-                        : mirror_.leader().empty() ? 0.1
-                                                   : 0.5;
+    const double wait = leads() ? std::max(kShortestGap, leadership.next_renewal - steady_now())
+                        : mirror_.leader().empty() ? kWaitVacant
+                                                   : kWaitLed;
     nap(lock, lead_cv_, wait);
   }
+  resign(leadership);
+}
+
+Node::LeadershipView Node::view_leadership() {
+  std::lock_guard lock(mutex_);
+  const double now = steady_now();
+  if (role_ == Role::resting && now >= rest_until_) set_role(Role::follower, "rested");
+  LeadershipView out;
+  out.role = role_;
+  out.lease = lease_;
+  // Only a fresh look tells that nobody leads.
+  out.vacant = loaded_ && mirror_.leader().empty() && now - state_ok_at_ < 2 * config_.follow_s + 1;
+  out.types_known = !mirror_.types().empty() || !types_.empty();
+  return out;
+}
+
+// Does nothing before it is time to. The outcome is applied under mutex_.
+void Node::renew_lease(Leadership& leadership, uint64_t lease) {
+  const double sent = steady_now();
+  if (sent < leadership.next_renewal) return;
+  const auto outcome = leadership.client.renew(lease);
+  std::lock_guard lock(mutex_);
+  on_renewal(outcome, sent);
+  leadership.next_renewal = sent + config_.lease_ttl_s / 3;
+}
+
+void Node::on_renewal(state::Client::Renewal outcome, double sent) {
+  const double now = steady_now();
+  notice_stall(now);
+  lease_clock_.asked(sent);
+  if (!leads()) return;
+  if (outcome == state::Client::Renewal::kept) {
+    lease_clock_.kept(sent);
+    horizon_.proven(sent);
+    if (role_ == Role::doubtful) set_role(Role::leading, "the lease is renewed");
+  } else if (outcome == state::Client::Renewal::ended) {
+    step_down(Role::follower, "the lease ended");
+  } else if (!lease_clock_.runs(now, config_.lease_ttl_s)) {
+    if (role_ == Role::leading) set_role(Role::doubtful, "the lease could not be renewed");
+    if (now - lease_clock_.kept_at() > kMaxDoubt)
+      step_down(Role::follower, "in doubt for too long");
+  }
+}
+
+// Waits a little, so that not all try at once, and campaigns if still nobody leads. `lease`: the
+// one that we knew of before.
+void Node::run_for_leader(Leadership& leadership, uint64_t lease) {
+  double wait = 0;
+  {
+    std::lock_guard lock(mutex_);  // random_ serves the users' requests too
+    wait = leadership.jitter(random_);
+  }
+  std::this_thread::sleep_for(std::chrono::duration<double>(wait));
+  bool still_vacant = false;
+  {
+    std::lock_guard lock(mutex_);
+    still_vacant = role_ == Role::follower && mirror_.leader().empty();
+    if (still_vacant) set_role(Role::campaigning, "nobody leads");
+  }
+  if (still_vacant && !campaign(leadership.client)) {
+    std::lock_guard lock(mutex_);
+    if (role_ == Role::campaigning) set_role(Role::follower, "not elected");
+    if (lease_ != lease) leadership.held = true;
+  }
+  leadership.next_renewal = 0;
+}
+
+// When the process ends: others need not wait for the lease's end.
+void Node::resign(Leadership& leadership) {
   std::unique_lock lock(mutex_);
   const uint64_t lease = lease_;
   const bool mine = leads();
   if (mine) step_down(Role::follower, "stopping");
   lock.unlock();
-  if (mine) client.drop(lease);
+  if (mine) leadership.client.drop(lease);
 }
 
 // ---------------------------------------------------------------- the core's threads
 
-// One clear warning for each limit that does not carry the fleet.
+// One clear warning for each limit that does not carry the fleet. Reads a file: mutex_ isn't held.
 void Node::check_limits(size_t machines) {
   const size_t room = connections_from_outside(config_);
   if (machines > room && !std::exchange(warned_sockets_, true))
@@ -526,7 +543,15 @@
 void Node::engine_loop() {
   std::unique_lock lock(mutex_);
   double next_summary = 0, last_round = 0;
+  std::optional<size_t> machines_to_check;
   while (!stop_) {
+    // Nothing that is notified meanwhile is lost: what there is to do is looked at only after it.
+    if (machines_to_check) {
+      lock.unlock();
+      check_limits(*machines_to_check);
+      lock.lock();
+      machines_to_check.reset();
+    }
     double interval = 0.5;
     if (const double gap = last_round + kEagerGap - steady_now(); gap > 0) {
       lock.unlock();
@@ -559,7 +584,7 @@
               "jobs {} waiting {} live {}; machines ready {} booting {} draining {} "
               "silent {}, target {}",
               s.jobs, s.waiting, s.live, s.ready, s.booting, s.draining, s.silent, s.target);
-          check_limits(s.ready + s.booting + s.draining);
+          machines_to_check = s.ready + s.booting + s.draining;
         }
       }
     } else if (role_ == Role::doubtful && core_ && core_->lost()) {
@@ -732,9 +757,9 @@
   mesh::View v;
   v.label = config_.core.label;
   v.incarnation = incarnation_;
-  v.read_to = known_cancellations_.read_to();
+  v.read_to = cancellation_gate_.leader_read_to();
   v.state_ok = steady_now() - state_ok_at_ < kStateFresh;
-  v.writes = need_;
+  v.writes = write_share_.own_demand();
   v.token = known_token();
   v.leader = highest_leader_;
   return v;
@@ -748,11 +773,9 @@
     image_hints_ = v.images;
     image_hints_token_ = v.token;
   }
-  for (const Sibling& s : config_.siblings)  // any other label would only take memory
-    if (s.label == v.label) needs_[v.label] = {std::clamp(v.writes, 0.0, 1e6), steady_now()};
+  write_share_.record_sibling(v.label, v.writes, steady_now());
   // Together with the token below: who relies on a leader's word knows of that leader.
-  known_cancellations_.read_to(v.read_to);
-  told_cv_.notify_all();
+  cancellation_gate_.leader_has_read(v.read_to);
   if (v.token <= highest_token_) return;
   highest_token_ = v.token;
   highest_leader_ = v.leader;
@@ -775,11 +798,8 @@
         images = core_->image_hints();
       }
       const double asked = state_budgets_.writes.asked();
-      const double past = std::max(0.2, now - need_at_);
-      need_at_ = now;
-      // Up at once, down slowly.
-      need_ = std::max(asked / past, 0.7 * need_);
-      if (core_ && leads()) need_ = std::max(need_, static_cast<double>(core_->unsent()));
+      const double backlog = core_ && leads() ? static_cast<double>(core_->unsent()) : 0;
+      write_share_.record_own(asked, backlog, now);
       share_writes();
     }
     for (auto& p : peers) {
@@ -811,12 +831,7 @@
   if (role_ != Role::leading || mirror_.last_cancelled() <= mirror_.read_to()) return false;
   const double now = steady_now();
   if (now - published_at_ < kPublishEvery) return false;
-  size_t fresh = 0;
-  for (const Sibling& s : config_.siblings) {
-    auto it = needs_.find(s.label);
-    fresh += it != needs_.end() && now - it->second.at < kNeedFresh / 2;
-  }
-  return static_cast<int>(fresh) < config_.nodes - 1;
+  return write_share_.reachable_siblings(now) < config_.nodes - 1;
 }
 
 // Through the ledger, where siblings cannot be told.
@@ -825,7 +840,7 @@
   ledger::Transaction t;
   t.mark = new_mark();
   t.conditions = {{ledger::kLeaderKey, token_}};
-  t.changes = {{ledger::kReadToKey, false, known_cancellations_.read_to(), 0}};
+  t.changes = {{ledger::kReadToKey, false, cancellation_gate_.leader_read_to(), 0}};
   lock.unlock();
   client.commit(t, 0.5);  // refused, or without an answer: the next one tells more
   lock.lock();
@@ -842,21 +857,21 @@
     const std::string leader = mirror_.leader();
     auto peer = peers.find(leader);
     if (!leader.empty()) c.token = mirror_.leader_stamp();
-    for (auto& [id, t] : tellings_) {
-      if (t.tried || c.rows.size() >= kTellAtOnce) continue;
-      const MirrorJob* j = mirror_.job(id);
+    for (const CancellationGate::Pending& p : cancellation_gate_.pending()) {
+      if (c.rows.size() >= kTellAtOnce) break;
+      const MirrorJob* j = mirror_.job(p.job);
       // Whom to ask follows from a ledger that has the row: an older one may name a leader that
       // was over when it was written.
-      const bool placed = t.leader > 0 ? t.leader <= c.token : j && revision_ >= j->stamp;
+      const bool placed = p.leader > 0 ? p.leader <= c.token : j && revision_ >= j->stamp;
       if (!j || !placed || peer == peers.end()) {
-        t.tried = true;
+        cancellation_gate_.set_tried(p.job);
         continue;
       }
-      c.rows.push_back({id, ledger::encode(j->row), j->stamp});
+      c.rows.push_back({p.job, ledger::encode(j->row), j->stamp});
     }
     if (c.rows.empty()) {
-      told_cv_.notify_all();
-      nap(lock, tell_cv_, kPublishEvery);
+      cancellation_gate_.wake_waiting();
+      cancellation_gate_.wait_for_pending(lock, kPublishEvery);
       continue;
     }
     lock.unlock();
@@ -869,10 +884,10 @@
     else
       spdlog::info("cancellations of {} jobs: {} has not taken them up", c.rows.size(), leader);
     for (const mesh::Cancelled::Row& r : c.rows) {
-      if (acknowledged) known_cancellations_.acknowledge(r.job, r.stamp);
-      if (auto t = tellings_.find(r.job); t != tellings_.end()) t->second.tried = true;
+      if (acknowledged) cancellation_gate_.acknowledge(r.job, r.stamp);
+      cancellation_gate_.set_tried(r.job);
     }
-    told_cv_.notify_all();
+    cancellation_gate_.wake_waiting();
   }
 }
 
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -16,7 +16,7 @@
 
 #include <atomic>
 #include <condition_variable>
-#include <map>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -25,15 +25,20 @@
 #include <thread>
 #include <vector>
 
+#include "api/user_api.h"
 #include "cloud/client.h"
 #include "config/config.h"
 #include "core/cancellations.h"
 #include "core/core.h"
 #include "core/lease_clock.h"
 #include "core/mirror.h"
+#include "daemon/cancellation_gate.h"
+#include "daemon/read_barrier.h"
 #include "mesh/mesh.h"
 #include "net/server.h"
+#include "net/write_share.h"
 #include "state/client.h"
+#include "state/connection_pool.h"
 
 namespace rookdyke {
 
@@ -44,38 +49,48 @@
 enum class Role : uint8_t { follower, campaigning, leading, doubtful, resting };
 std::string_view to_string(Role r);
 
-class Node {
+class Node : private JobLedger {
  public:
   explicit Node(Config config);
-  ~Node();
+  ~Node() override;
   bool start();
   void stop();
   int port() const { return api_->port(); }
   Role role() const;
 
  private:
-  // -- api/api.cpp
+  // -- node_http.cpp: JobLedger, for the users' requests
+  bool wait_for_barrier(double timeout_s) override;
+  void read(const std::function<void(const Mirror&)>& look) const override;
+  std::vector<TypeInfo> machine_types() const override;
+  std::string transaction_mark() override;
+  std::optional<ledger::Result> commit(const ledger::Transaction& t, double deadline) override;
+  void apply_committed(const wire::Row& row) override;
+  bool may_say_aborted(const std::string& id, double deadline, uint64_t leader) override;
+  bool siblings_are_served() const override;
+  // -- node_http.cpp: other requests
   void serve(const httplib::Request& req, httplib::Response& res);
-  void submit(const httplib::Request& req, httplib::Response& res);
-  void poll(const std::string& id, httplib::Response& res);
-  void abort(const std::string& id, httplib::Response& res);
   void report(const httplib::Request& req, httplib::Response& res);
   void health(httplib::Response& res);
-  void later(httplib::Response& res, const char* why, bool elsewhere = false);
-  void answer_job(const std::string& id, const JobAnswer& a, bool counts, double deadline,
-                  httplib::Response& res);
-  bool may_say_aborted(const std::string& id, double deadline, uint64_t leader = 0);
   void serve_mesh(const httplib::Request& req, httplib::Response& res);
-  uint64_t take_cancelled(const mesh::Cancelled& c);
-  std::optional<ledger::Result> settle(const ledger::Transaction& t, double deadline);
 
   // -- node.cpp
-  // Waits until the mirror shows at least all that was committed before the call.
-  bool barrier(double timeout_s);
+  uint64_t take_cancelled(const mesh::Cancelled& c);
+  struct Watcher;
   void watch_loop();
+  void wait_for_next_read(const Watcher& watcher);
+  bool read_rows_if_needed(Watcher& watcher);
   bool reload(state::Client& client);
+  void apply_changes(const wire::Rows& changes, double sent);
   void apply(const wire::Row& row);  // under mutex_
+  struct Leadership;
+  struct LeadershipView;
   void lead_loop();
+  LeadershipView view_leadership();
+  void renew_lease(Leadership& leadership, uint64_t lease);
+  void on_renewal(state::Client::Renewal outcome, double sent);  // under mutex_
+  void run_for_leader(Leadership& leadership, uint64_t lease);
+  void resign(Leadership& leadership);
   bool campaign(state::Client& client);
   void step_down(Role to, const std::string& why);  // under mutex_
   void set_role(Role to, const std::string& why);   // under mutex_; the only place that changes it
@@ -88,12 +103,10 @@
   bool must_publish() const;  // under mutex_
   void publish_read_to(std::unique_lock<std::mutex>& lock, state::Client& client);
   void hear(const mesh::View& v);
-  void check_limits(size_t machines);  // under mutex_
-  void share_writes();                 // under mutex_
+  void check_limits(size_t machines);  // engine's alone, without mutex_
+  void share_writes();                 // under mutex_: by demand, as far as it is known
   bool alone(double now) const;        // no sibling answers, nor does the state service
   std::string new_mark();              // under mutex_
-  // Whether asking the state service now is in vain as far as we know.
-  bool state_down() const { return watch_failures_ >= 2; }
   mesh::View view() const;
   bool leads() const { return role_ == Role::leading || role_ == Role::doubtful; }
   uint64_t known_token() const;          // under mutex_: the highest known of
@@ -111,7 +124,6 @@
   Config config_;
   mutable std::mutex mutex_;
   std::condition_variable commit_cv_, cloud_cv_, direct_cv_, engine_cv_, lead_cv_, mesh_cv_;
-  std::condition_variable tell_cv_, told_cv_;
   std::atomic<bool> stop_{false};
 
   Mirror mirror_;
@@ -119,59 +131,38 @@
   std::unique_ptr<Core> core_;
   uint64_t token_ = 0, lease_ = 0;
   double rest_until_ = 0;
-  bool warned_sockets_ = false, warned_memory_ = false;
-  LeaseClock lease_clock_;       // of our lease, and of standing still
+  bool warned_sockets_ = false, warned_memory_ = false;  // engine's own
+  LeaseClock lease_clock_;                               // of our lease, and of standing still
   std::vector<TypeInfo> types_;  // as the cloud tells, until the ledger has them
   uint64_t highest_token_ = 0;   // heard of from anybody
   std::string highest_leader_;
 
   // -- cancellations (core/cancellations.h)
-  KnownCancellations known_cancellations_;
+  CancellationGate cancellation_gate_;  // under mutex_
   CancellationHorizon horizon_;
-  struct Telling {        // a cancelled job that its leader has to be told of
-    uint64_t leader = 0;  // held the key when it was written; 0: see the mirror
-    bool tried = false;   // by a message; the ledger may still bring word of the leader
-    int waiting = 0;
-  };
-  std::map<std::string, Telling> tellings_;
   double published_at_ = -1e9;
 
-  // Read barriers.
-  std::mutex barrier_mutex_;
-  std::condition_variable barrier_cv_, watch_cv_;
-  uint64_t barrier_asked_ = 0, barrier_done_ = 0, barrier_failed_ = 0;
-  uint64_t revision_ = 0;  // the mirror holds all up to here (watcher's own)
+  ReadBarrier read_barrier_;  // locks for itself; never waited at while mutex_ is held
+  uint64_t revision_ = 0;     // the mirror holds all up to here (watcher's own)
   std::atomic<bool> loaded_{false};
   std::atomic<double> state_ok_at_{-1e9};
-  std::atomic<int> watch_failures_{0};        // in a row
   std::atomic<double> siblings_at_{-1e9};     // a sibling was last heard
   std::atomic<double> siblings_ok_at_{-1e9};  // a sibling last said that the state answers it
 
   state::Budgets state_budgets_;
   net::Budget cloud_budget_;
-  // Connections to the state service for the users' requests.
-  std::mutex pool_mutex_;
-  std::condition_variable pool_cv_;
-  std::vector<std::unique_ptr<state::Client>> pool_;
-  size_t pool_made_ = 0;
+  state::ConnectionPool state_connections_;  // for the users' requests
 
+  UserApi user_api_;
   std::unique_ptr<net::Server> api_, mesh_;
   std::vector<std::thread> threads_;
   std::mt19937 random_;
   // Names this process among all that ever had its label: marks of a predecessor are never ours.
   std::string incarnation_;
   uint64_t marks_ = 0;
-  struct Need {
-    double writes = 0, at = -1e9;
-  };
-  nlohmann::json image_hints_;         // the latest that a leader told
-  uint64_t image_hints_token_ = 0;     // which one
-  std::map<std::string, Need> needs_;  // of changes a second, by sibling
-  double need_ = 0;                    // our own
-  double need_at_ = 0;
-  friend class PooledState;
+  nlohmann::json image_hints_;      // the latest that a leader told
+  uint64_t image_hints_token_ = 0;  // which one
+  net::WriteShare write_share_;     // under mutex_
 };
 
-double steady_now();
-
 }  // namespace rookdyke
