--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -13,11 +13,13 @@
 #include "core/ledger.h"
 #include "core/mirror.h"
 #include "core/states.h"
+#include "core_fixtures.h"
 
 namespace rookdyke {
 namespace {
 
 using ledger::TaskSet;
+using namespace test;
 
 TEST(Forecast, BeginsWithOneSpareMachine) {
   Forecast f(Tuning{}, 40);
@@ -595,47 +597,6 @@
 
 // ---- a core by itself, with machines that report by hand
 
-Settings bare_settings() {
-  Settings s;
-  s.label = "n0";
-  s.zones = {"a"};
-  s.teams = {{"team", 0, 0, 0, 0}};
-  s.report_s = 5;
-  s.lease_s = 29;
-  s.list_lag_s = 3;
-  return s;
-}
-
-TypeInfo bare_type() {
-  TypeInfo t;
-  t.name = "box";
-  t.size = {16, 4, 64};
-  t.cache_gb = 100;
-  t.price = 4;
-  t.spot_price = 1;
-  t.boot_s = 50;
-  t.zones = {"a"};
-  return t;
-}
-
-Report bare_report(int machine, uint64_t seq, uint64_t token) {
-  Report r;
-  r.machine = "m-" + std::to_string(machine);
-  r.addr = "10.0.0.1:1";
-  r.type = "box";
-  r.zone = "a";
-  r.session = 1;
-  r.seq = seq;
-  r.token = token;
-  return r;
-}
-
-MachineState state_of(const Core& core, int machine) {
-  for (const auto& m : core.machines())
-    if (m->name == "m-" + std::to_string(machine)) return m->state;
-  return MachineState::gone;
-}
-
 // After standing still a leader must not lay its own deafness on the machines.
 TEST(Core, ItsOwnSleepIsNoSilenceOfTheMachines) {
   Core slept(bare_settings(), {bare_type()}, 7, 0), other(bare_settings(), {bare_type()}, 7, 0);
@@ -716,23 +677,6 @@
   EXPECT_TRUE(v.runs(132, 2.5));
 }
 
-// A ledger with a job of seven tasks, cancelled or not, the first of them on m-1.
-Mirror with_a_task_on_m1(ledger::Standing standing, double at_s) {
-  Mirror m;
-  ledger::JobRow row;
-  row.standing = standing;
-  row.tasks = 7;
-  row.per = 3;
-  row.at_s = at_s;
-  row.spec = JobSpec{};
-  row.spec->team = "team";
-  row.spec->each = {1, 1, 1};
-  m.put("rd/j/wk-000001", ledger::encode(row), 3);
-  m.put("rd/t/0", nlohmann::json::parse(R"({"w":"x","e":[["wk-000001",0,1,[],[[0,1,"m-1",1]]]]})"),
-        4);
-  return m;
-}
-
 // The time to cancel runs from the cancellation, whoever leads: a machine that has not come to a
 // new leader goes once it had time to, unless what the ledger says of it is long past.
 TEST(Core, TheTimeToCancelDoesNotBeginAnewWithALeader) {
