Tests: who leads, who leaves its workers, and polls that share a look

Over HTTP, with a state service that loses answers and carries out late writes.

What loopback tests share moved from loopback_test.cpp to loopback.h; the state service there gained the fate of a transaction, leases that are not taken back, and counts.

--- /dev/null
+++ b/tests/loopback.h
@@ -0,0 +1,421 @@
+#pragma once
+// What loopback tests share: a state service, a cloud and workers on real sockets, and nodes with
+// their real servers and clients that talk to them.
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <httplib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "daemon/node.h"
+#include "net/server.h"
+#include "sim.h"
+#include "wire/wire.h"
+
+namespace rookdyke::test {
+
+using nlohmann::json;
+
+inline constexpr int kPatienceS = 60;
+
+inline json body_of(const std::string& s) { return wire::unpack(s).value_or(json()); }
+
+inline void put(httplib::Response& res, int status, const json& j) {
+  res.status = status;
+  res.set_content(wire::pack(j), "application/msgpack");
+}
+
+// The state service's protocol over the scenarios' Store. Leases never run out here.
+class StateService {
+ public:
+  StateService()
+      : store_(clock_),
+        server_({"127.0.0.1", 0}, 64, 64, 1 << 20,
+                [this](const httplib::Request& q, httplib::Response& r) { serve(q, r); }) {
+    EXPECT_TRUE(server_.start());
+  }
+  int port() const { return server_.port(); }
+  void set_outage(bool on) {
+    std::lock_guard lock(mutex_);
+    outage_ = on;
+  }
+  // What becomes of a transaction: `before` are late ones that are carried out first; one that is
+  // not answered has an answer that cannot be read.
+  struct Fate {
+    bool executed = true, answered = true;
+    std::vector<ledger::Transaction> before = {};
+  };
+  void decide(std::function<Fate(const ledger::Transaction&)> fate) {
+    std::lock_guard lock(mutex_);
+    fate_ = std::move(fate);
+  }
+  // Whether leases that are given back end at once: not those of a process that was killed.
+  void take_leases_back(bool on) {
+    std::lock_guard lock(mutex_);
+    take_leases_back_ = on;
+  }
+  void end_lease(uint64_t id) {
+    std::lock_guard lock(mutex_);
+    store_.drop(id);
+  }
+  size_t leases_given_back() {
+    std::lock_guard lock(mutex_);
+    return leases_given_back_;
+  }
+  size_t watches() {
+    std::lock_guard lock(mutex_);
+    return watches_;
+  }
+  size_t transactions() {
+    std::lock_guard lock(mutex_);
+    return asked_;
+  }
+  // Changes that others make while nobody is answered.
+  void change_much(int times) {
+    std::lock_guard lock(mutex_);
+    for (int i = 0; i < times; ++i) {
+      ledger::Transaction t;
+      t.changes = {{"rd/x/" + std::to_string(i % 7), false, json(i), 0}};
+      store_.commit(t);
+    }
+  }
+  const Store::Entry* row(const std::string& key) {
+    std::lock_guard lock(mutex_);
+    return store_.get(key);
+  }
+  size_t longest_watch() {
+    std::lock_guard lock(mutex_);
+    return longest_;
+  }
+
+ private:
+  void serve(const httplib::Request& q, httplib::Response& r) {
+    std::lock_guard lock(mutex_);
+    const json in = body_of(q.body);
+    const std::string path = q.target.substr(0, q.target.find('?'));
+    auto param = [&](const std::string& name) {
+      const size_t at = q.target.find(name + "=");
+      if (at == std::string::npos) return std::string();
+      const size_t from = at + name.size() + 1;
+      return q.target.substr(from, q.target.find('&', from) - from);
+    };
+    auto unescape = [](const std::string& s) { return httplib::detail::decode_url(s, false); };
+    if (path == "/txn") ++asked_;
+    if (outage_) return put(r, 503, {{"error", "down"}});
+    if (path == "/txn") {
+      ledger::Transaction t;
+      for (const json& c : in.at("if"))
+        t.conditions.push_back({c.at("k").get<std::string>(), c.at("stamp").get<uint64_t>()});
+      for (const json& c : in.at("then")) {
+        if (c.contains("delete"))
+          t.changes.push_back({c.at("delete").get<std::string>(), true, {}, 0});
+        else
+          t.changes.push_back(
+              {c.at("write").get<std::string>(), false, c.at("v"), c.value("tether", uint64_t{0})});
+      }
+      const Fate fate = fate_ ? fate_(t) : Fate{};
+      for (const ledger::Transaction& late : fate.before) store_.commit(late);
+      const auto res = fate.executed ? store_.commit(t) : ledger::Result{};
+      if (!fate.answered) return put(r, 200, json::object());
+      if (res.outcome == ledger::Outcome::applied)
+        put(r, 200, {{"ledger", res.revision}});
+      else
+        put(r, 409, {{"failed", res.failed}, {"ledger", store_.revision}});
+    } else if (path == "/watch") {
+      ++watches_;
+      json log = json::array();
+      const auto changes = store_.since(std::stoull(param("after")));
+      longest_ = std::max(longest_, changes.size());
+      for (const auto& e : changes) {
+        if (e.erased)
+          log.push_back({{"delete", e.key}, {"stamp", e.stamp}});
+        else
+          log.push_back({{"write", e.key}, {"v", e.value}, {"stamp", e.stamp}});
+      }
+      put(r, 200, {{"ledger", store_.revision}, {"log", log}});
+    } else if (path == "/keys") {
+      ++ranges_;
+      json rows = json::array();
+      const size_t most = std::stoul(param("most"));
+      const auto all = store_.rows_after(unescape(param("after")));
+      for (const auto& [k, e] : all) {
+        if (rows.size() == most) break;
+        rows.push_back({{"k", k}, {"v", e.value}, {"stamp", e.stamp}});
+      }
+      const bool more = rows.size() < all.size();
+      put(r, 200, {{"rows", std::move(rows)}, {"truncated", more}, {"ledger", store_.revision}});
+    } else if (path.rfind("/keys/", 0) == 0) {
+      const auto* e = store_.get(path.substr(6));
+      if (e)
+        put(r, 200, {{"k", path.substr(6)}, {"v", e->value}, {"stamp", e->stamp}});
+      else
+        put(r, 404, {{"ledger", store_.revision}});
+    } else if (path == "/leases") {
+      put(r, 200, {{"tether", store_.grant(1e9)}});
+    } else if (path.rfind("/leases/", 0) == 0) {
+      const uint64_t id = std::stoull(path.substr(8));
+      if (q.method == "DELETE") {
+        ++leases_given_back_;
+        if (take_leases_back_) store_.drop(id);
+        put(r, 200, json::object());
+      } else {
+        put(r, store_.renew(id) ? 200 : 404, json::object());
+      }
+    } else {
+      put(r, 404, json::object());
+    }
+  }
+
+  std::mutex mutex_;
+  bool outage_ = false;
+  bool take_leases_back_ = true;
+  std::function<Fate(const ledger::Transaction&)> fate_;
+  size_t asked_ = 0, ranges_ = 0, longest_ = 0, watches_ = 0, leases_given_back_ = 0;
+  Clock clock_;
+  Store store_;
+  net::Server server_;
+};
+
+// A cloud with one small machine type; a rented machine is a thread that reports and runs every
+// task in no time.
+class CloudAndWorkers {
+ public:
+  CloudAndWorkers()
+      : server_({"127.0.0.1", 0}, 16, 16, 1 << 20,
+                [this](const httplib::Request& q, httplib::Response& r) { serve(q, r); }) {
+    EXPECT_TRUE(server_.start());
+  }
+  ~CloudAndWorkers() {
+    stop_ = true;
+    for (auto& t : threads_) t.join();
+  }
+  int port() const { return server_.port(); }
+  void use(std::map<std::string, int> nodes) {
+    std::lock_guard lock(mutex_);
+    nodes_ = std::move(nodes);
+    known_.notify_all();
+  }
+  size_t hired() {
+    std::lock_guard lock(mutex_);
+    return names_.size();
+  }
+
+ private:
+  void serve(const httplib::Request& q, httplib::Response& r) {
+    std::lock_guard lock(mutex_);
+    if (q.target == "/machine_types") {
+      put(r, 200,
+          {{"breeds",
+            {{{"name", "box"},
+              {"cpus", 4},
+              {"gpus", 0},
+              {"mem_gb", 8},
+              {"local_gb", 10},
+              {"fetch_gb_per_s", 1.0},
+              {"hourly", 1.0},
+              {"low_price", 0.5},
+              {"boot_s", 1.0},
+              {"yards", {"a"}}}}}});
+    } else if (q.target == "/machines" && q.method == "POST") {
+      const json in = body_of(q.body);
+      json names = json::array();
+      for (int i = 0; i < in.at("how_many").get<int>() && names_.size() < 4; ++i) {
+        const std::string name = "m-00000" + std::to_string(names_.size());
+        names_.push_back(name);
+        names.push_back(name);
+        const bool spot = in.at("loaners").get<bool>();
+        threads_.emplace_back([this, name, spot] { work(name, spot); });
+      }
+      if (names.empty())
+        put(r, 503, {{"error", "no capacity"}});
+      else
+        put(r, 200, {{"crofts", names}});
+    } else if (q.target == "/machines/return") {
+      put(r, 200, json::object());
+    } else {
+      put(r, 200, {{"crofts", json::array()}, {"truncated", false}});
+    }
+  }
+
+  void work(const std::string& name, bool spot) {
+    std::map<std::string, json> tasks;
+    uint64_t token = 0, tally = 0;
+    // Machines may be hired before the nodes' ports are known here.
+    std::map<std::string, int> nodes;
+    {
+      std::unique_lock lock(mutex_);
+      known_.wait(lock, [this] { return !nodes_.empty(); });
+      nodes = nodes_;
+    }
+    auto node = nodes.begin();
+    while (!stop_) {
+      json list = json::array();
+      for (const auto& [k, t] : tasks) list.push_back(t);
+      httplib::Client c("127.0.0.1", node->second);
+      const auto r = c.Post("/hello",
+                            wire::pack({{"croft", name},
+                                        {"addr", ""},
+                                        {"breed", "box"},
+                                        {"yard", "a"},
+                                        {"loaners", spot},
+                                        {"tenure", 1},
+                                        {"tally", ++tally},
+                                        {"warrant", token},
+                                        {"shifts", list}}),
+                            "application/msgpack");
+      if (r && r->status == 200) {
+        const json a = body_of(r->body);
+        token = a.at("warrant").get<uint64_t>();
+        for (const json& o : a.at("orders")) {
+          const std::string k = o.at("shift").get<std::string>();
+          if (o.at("verb") == "run" && !tasks.count(k))
+            tasks[k] = {
+                {"shift", k}, {"go", o.at("go")}, {"standing", "exited"}, {"cause", "done"}};
+          else if (o.at("verb") == "clear")
+            tasks.erase(k);
+        }
+      } else {
+        const json a = r ? body_of(r->body) : json();
+        const std::string leader = a.is_object() ? a.value("steward", "") : "";
+        if (nodes.count(leader))
+          node = nodes.find(leader);
+        else if (++node == nodes.end())
+          node = nodes.begin();
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+  }
+
+  std::mutex mutex_;
+  std::condition_variable known_;
+  std::atomic<bool> stop_{false};
+  std::map<std::string, int> nodes_;
+  std::vector<std::string> names_;
+  std::vector<std::thread> threads_;
+  net::Server server_;
+};
+
+inline Config config(const std::string& label, int state, int cloud) {
+  Config c;
+  c.core.label = label;
+  c.core.zones = {"a"};
+  c.core.teams = {{"t", 0, 2, 0, 0}};
+  c.core.report_s = 30;  // the worker here is quick; nothing is silent for this test's length
+  c.core.lease_s = 300;
+  c.bind = c.mesh = {"127.0.0.1", 0};
+  c.state = {"127.0.0.1", state};
+  c.cloud = {"127.0.0.1", cloud};
+  c.state_rps = 2000;
+  c.write_rps = 500;
+  c.cloud_rps = 50;
+  c.nodes = 2;
+  return c;
+}
+
+inline json job(const std::string& id, int tasks) {
+  return {{"id", id},           {"lot", "l"},      {"crew", "t"},       {"shape", "array"},
+          {"rank", "standard"}, {"shifts", tasks}, {"cpus", 1.0},       {"gpus", 0.0},
+          {"mem_gb", 1.0},      {"kit", "i"},      {"image_gb", 0.0},   {"one_zone", false},
+          {"scatter", false},   {"loaners", true}, {"expected_s", 1.0}, {"marker_s", 0.0},
+          {"stow_s", 0.0}};
+}
+
+inline bool until(const std::function<bool()>& yes) {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(kPatienceS);
+  while (std::chrono::steady_clock::now() < end) {
+    if (yes()) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  }
+  return false;
+}
+
+inline int free_port() {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof at;
+  EXPECT_EQ(::bind(fd, reinterpret_cast<sockaddr*>(&at), size), 0);
+  EXPECT_EQ(::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size), 0);
+  ::close(fd);
+  return ntohs(at.sin_port);
+}
+
+// Two nodes that know each other as siblings, or do not.
+class Pair : public testing::Test {
+ protected:
+  explicit Pair(bool siblings) {
+    // A port that was free may be taken by now: then others are tried.
+    for (int i = 0; i < 20 && (!a_ || !b_); ++i) {
+      Config first = config("n-a", state.port(), cloud.port());
+      Config second = config("n-b", state.port(), cloud.port());
+      if (siblings) {
+        first.mesh.port = free_port();
+        second.mesh.port = free_port();
+        first.siblings = {{"n-b", second.mesh}};
+        second.siblings = {{"n-a", first.mesh}};
+      }
+      a_ = started(first);
+      b_ = a_ ? started(second) : nullptr;
+    }
+    if (!a_ || !b_) throw std::runtime_error("no ports");
+    cloud.use({{"n-a", a().port()}, {"n-b", b().port()}});
+  }
+  static std::unique_ptr<Node> started(const Config& c) {
+    auto n = std::make_unique<Node>(c);
+    return n->start() ? std::move(n) : nullptr;
+  }
+  Node& a() { return *a_; }
+  Node& b() { return *b_; }
+  Node& leader() { return a().role() == Role::leading ? a() : b(); }
+  Node& follower() { return a().role() == Role::leading ? b() : a(); }
+  bool somebody_leads() {
+    return until([&] { return a().role() == Role::leading || b().role() == Role::leading; });
+  }
+  std::pair<int, json> ask(Node& n, const std::string& path, const std::string* body = nullptr) {
+    httplib::Client c("127.0.0.1", n.port());
+    c.set_read_timeout(10, 0);
+    const auto r = body ? c.Post(path, *body, "application/msgpack") : c.Get(path);
+    return r ? std::make_pair(r->status, body_of(r->body)) : std::make_pair(0, json());
+  }
+  int submit(Node& n, const json& j) {
+    const std::string body = wire::pack(j);
+    int status = 0;
+    EXPECT_TRUE(until([&] { return (status = ask(n, "/v2/runs", &body).first) != 503; }));
+    return status;
+  }
+  std::string standing(Node& n, const std::string& id) {
+    const auto [status, j] = ask(n, "/v2/runs/" + id);
+    return status == 200 ? j.at("standing").get<std::string>() : std::to_string(status);
+  }
+
+  StateService state;
+  CloudAndWorkers cloud;
+
+ private:
+  std::unique_ptr<Node> a_, b_;
+};
+
+class Loopback : public Pair {
+ protected:
+  Loopback() : Pair(true) {}
+};
+
+class LoopbackApart : public Pair {
+ protected:
+  LoopbackApart() : Pair(false) {}
+};
+
+}  // namespace rookdyke::test
