Tests: an answer is judged by its question; close looks, lost answers, kept reports

The checker judged an answer by when it arrived, so that one on its way while another node told more counted as older, and the stand-ins' answers to users took no time. Now an answer counts as of its question if that is no longer than 2 s ago, and what a node has said itself counts at once, in whatever order it is heard. Starts after a cancellation count from the moment on at which it was confirmed, not heard: stricter than before. Unit tests show each failing. The simulated node refuses late answers to polls and repeated submissions, as src/api does.

--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -422,6 +422,22 @@
   EXPECT_EQ(world.store.get("k")->value.at("v"), "old");
 }
 
+TEST_F(CheckerStandInsTest, OnlyTheAnswerIsLost) {
+  world.store.outage = false;
+  world.lost_answers = 1;
+  bool answered = true;
+  world.call(
+      "users", "state", 1, [this] { world.store.commit(write("k", "new")); },
+      [&](bool ok) { answered = ok; });
+  world.clock.run(5.1);
+  ASSERT_NE(world.store.get("k"), nullptr);
+  EXPECT_EQ(world.store.get("k")->value.at("v"), "new");
+  world.clock.run(7);
+  EXPECT_FALSE(answered);
+  world.lost_answers = 0;
+  EXPECT_GE(world.met["answer_lost"], 1u);
+}
+
 TEST_F(CheckerStandInsTest, OneIsRefusedAndOthersAreServed) {
   world.store.outage = false;
   world.refuse("n0", 10);
@@ -461,6 +477,45 @@
   EXPECT_LT(other->answered, 5.1);
 }
 
+// As the daemon does: its user no longer waits for an answer that took 2 s, and may know more.
+TEST_F(CheckerStandInsTest, ANodeRefusesAnAnswerThatTookTooLong) {
+  world.store.outage = false;
+  std::string answer;
+  const auto poll = [&](double stands_still) {
+    answer = "none";
+    world.nodes[0]->user("poll", job("wk-000009"), [&](const std::string& a) { answer = a; });
+    world.nodes[0]->freeze(stands_still);
+    world.clock.run(world.clock.now + 8);
+  };
+  poll(1);
+  EXPECT_EQ(answer, "404");
+  poll(3);
+  EXPECT_EQ(answer, "");
+}
+
+TEST_F(CheckerStandInsTest, UsersAskAllNodesAtOnce) {
+  world.store.outage = false;
+  world.close_looks_until = 60;
+  JobSpec s = job("wk-000003");
+  world.submit(s, 5, false);
+  world.clock.run(60);
+  EXPECT_GE(world.met["close_looks"], 2u) << "once accepted, and at the end";
+  EXPECT_TRUE(world.checker.broken().empty());
+}
+
+// A copy that was kept arrives at the nodes once one of them begins to lead, and not again.
+TEST_F(CheckerStandInsTest, KeptReportsMeetTheNextLeader) {
+  world.keep_copies = 1;
+  world.clock.run(12);
+  EXPECT_EQ(world.met["old_report_as_leader_begins"], 0u) << "nobody leads";
+  world.store.outage = false;
+  world.clock.run(20);
+  const size_t met = world.met["old_report_as_leader_begins"];
+  EXPECT_GE(met, 1u);
+  world.clock.run(40);
+  EXPECT_EQ(world.met["old_report_as_leader_begins"], met);
+}
+
 TEST_F(CheckerStandInsTest, TheStateServiceAnswersSlowly) {
   world.slow_state_s = 4;
   double latest = 0;
@@ -638,6 +693,64 @@
   EXPECT_TRUE(checker.is_broken("went_back"));
 }
 
+// An answer to a question of before its user heard more is on its way; the answer to a later
+// question is older than what the user knows.
+TEST_F(CheckerTest, WentBackIsJudgedByWhenTheQuestionWasPut) {
+  checker.told(1, "wk-000001", "pending", false);
+  checker.told(5, "wk-000001", "aborted", true, {4, 4.9, 0});
+  checker.told(6, "wk-000001", "running", false, {4.5, 5.5, 1});
+  EXPECT_TRUE(checker.broken().empty());
+  checker.told(6, "wk-000001", "running", false, {5.1, 5.2, 1});
+  EXPECT_TRUE(checker.is_broken("went_back"));
+}
+
+// However long ago the question.
+TEST_F(CheckerTest, WentBackWhenTheAnswerTookTooLong) {
+  checker.told(5, "wk-000001", "aborted", true, {4, 4.9, 0});
+  checker.told(7, "wk-000001", "running", false, {4.5, 6.9, 1});
+  EXPECT_TRUE(checker.broken().empty());
+  checker.told(8, "wk-000001", "running", false, {4.5, 7.1, 1});
+  EXPECT_TRUE(checker.is_broken("went_back"));
+}
+
+// What a node has said itself it knows, in whatever order its answers are heard.
+TEST_F(CheckerTest, WentBackOnItsOwnWord) {
+  checker.told(5, "wk-000001", "aborted", true, {4, 4.5, 0});
+  checker.told(6, "wk-000001", "running", false, {4, 4.4, 0});
+  EXPECT_TRUE(checker.broken().empty());
+  checker.told(6, "wk-000001", "running", false, {4, 4.6, 0});
+  EXPECT_TRUE(checker.is_broken("went_back"));
+}
+
+TEST_F(CheckerTest, WentBackOnItsOwnWordHeardLater) {
+  checker.told(5, "wk-000001", "running", false, {4, 4.6, 0});
+  checker.told(5.5, "wk-000001", "aborted", true, {4, 4.5, 0});
+  EXPECT_TRUE(checker.is_broken("went_back"));
+}
+
+TEST_F(CheckerTest, CalledBothIsWrongWhenever) {
+  checker.told(5, "wk-000001", "aborted", true, {4, 4.9});
+  checker.completed("wk-000001", 0);
+  checker.completed("wk-000001", 1);
+  checker.told(6, "wk-000001", "done", true, {3, 3.1});
+  EXPECT_TRUE(checker.is_broken("went_back"));
+}
+
+TEST_F(CheckerTest, ForgottenIsJudgedByWhenTheQuestionWasPut) {
+  checker.told(2, "wk-000001", "pending", false, {1, 1.9, 0});
+  checker.told(3, "wk-000001", "404", false, {1.2, 2.5, 1});
+  EXPECT_TRUE(checker.broken().empty());
+  checker.told(3, "wk-000001", "404", false, {2.1, 2.2, 1});
+  EXPECT_TRUE(checker.is_broken("forgotten"));
+}
+
+// No start may be ordered from the moment on at which the cancellation was confirmed.
+TEST_F(CheckerTest, StartsOrderedWhileTheConfirmationIsOnItsWay) {
+  checker.told(5, "wk-000001", "aborted", true, {3, 4.5});
+  checker.starts(6, "wk-000001", 0, at("m1"), 4.7);
+  EXPECT_TRUE(checker.is_broken("started_cancelled"));
+}
+
 TEST_F(CheckerTest, CancelledByNobody) {
   checker.told(1, "wk-000001", "aborted", false);
   EXPECT_TRUE(checker.is_broken("went_back"));
