core: what boots take is a class of its own, BootStatistics

Cause: `Core` kept the recent boots of a type, the figures drawn from them and the bounds for late and lost machines in `TypeState` and in four functions of fleet.cpp; none of it could be tested without a whole core. `BootStatistics` has the boots of one type, is told the time and how many machines are overdue, and answers when a machine is late, when it is lost and whether most are late. `Core` counts the overdue ones and asks. A machine of an unknown type is judged by statistics that nothing is ever recorded in, of 60 s, as before. Before the first round the usual boot is now the published one instead of 0; nothing asks for it before the first round has worked it out.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -19,10 +19,15 @@
 constexpr size_t kLeastClosings = 4;  // at once, whatever is left of the rate of changes
 constexpr double kPutOff = 4;
 constexpr double kFleetPutOff = 6;
+constexpr double kUnknownBoot = 60;  // of a machine whose type is not known yet
 }  // namespace
 
 Core::Core(const Settings& settings, std::vector<TypeInfo> types, uint64_t token, double now)
-    : settings_(settings), types_(std::move(types)), token_(token), started_(now) {
+    : settings_(settings),
+      types_(std::move(types)),
+      token_(token),
+      started_(now),
+      unknown_type_boots_(kUnknownBoot, settings.tuning.boot_patience) {
   for (const std::string& z : settings_.zones) zone_names_.intern(z);
   for (const TeamInfo& t : settings_.teams) team_names_.intern(t.name);
   for (const TypeInfo& t : types_) {
@@ -30,8 +35,14 @@
     for (const std::string& z : t.zones) zone_names_.intern(z);
     const double ahead =
         settings_.tuning.boot_window_s > 0 ? settings_.tuning.boot_window_s : t.boot_s;
-    type_state_.push_back(
-        {Forecast(settings_.tuning, ahead), 0, {}, {}, {}, -1, {}, {}, 0, 0, false});
+    type_state_.push_back({Forecast(settings_.tuning, ahead),
+                           BootStatistics(t.boot_s, settings_.tuning.boot_patience),
+                           0,
+                           {},
+                           {},
+                           {},
+                           -1,
+                           {}});
   }
   team_used_.resize(team_names_.size());
   next_sample_ = now;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -19,6 +19,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/boot_statistics.h"
 #include "core/forecast.h"
 #include "core/ledger.h"
 #include "core/mirror.h"
@@ -348,6 +349,7 @@
   // -- fleet.cpp
   struct TypeState {
     Forecast forecast;
+    BootStatistics boots;
     double target = 0;
 
     Amounts demand, ordinary;  // ordinary: of jobs that may not use spot machines
@@ -359,14 +361,10 @@
     std::map<Index, Bound> bound;  // by zone
     double above_since = -1;
     std::map<std::pair<Index, bool>, double> refused_until;  // (zone, spot)
-    std::deque<std::pair<double, double>> boots;  // of late: when a machine came up, and how old
-    double usual_boot = 0, longest_boot = 0;      // of these, as of this round
-    bool all_late = false;                        // most of those that should be up are not
   };
-  void note_boot(const Machine& m, double now);
-  double late_after(const Machine& m) const;
-  double lost_after(const Machine& m) const;
-  void watch_boots(double now);
+  void record_boot(const Machine& m, double now);
+  const BootStatistics& boots_of(const Machine& m) const;
+  void update_boots(double now);
   void bind_demand(const Job& job, Index type, const Amounts& demand);
   double machines_for(Index type, const Amounts& demand) const;
   double floor_of(Index type, const TypeState::Bound& b, bool ordinary) const;
@@ -459,6 +457,7 @@
   double closing_since_ = -1;  // the oldest of them
 
   std::vector<TypeState> type_state_;
+  BootStatistics unknown_type_boots_;  // for machines whose type is not known yet
   double next_sample_ = 0;
   double hire_at_ = 0, hire_retry_at_ = 0;
   std::deque<Hire> hires_;  // wanted and unanswered, oldest first
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -13,14 +13,6 @@
 
 namespace {
 
-// A machine still booting after this many boot times no longer counts towards the target; it is
-// returned later (tuning.boot_patience), since some take several times as long.
-constexpr double kLateBoot = 1.8;
-// What is known of boots is as old as this at most, and no less than so many tell anything.
-constexpr double kBootMemory = 120;
-constexpr size_t kBootsToLearn = 3;
-constexpr double kBootMargin = 1.2;  // beyond the longest boot of late
-constexpr double kUnknownBoot = 60;  // of a machine whose type is not known yet
 // A new leader's machines get this long to find it before their silence means anything: a worker
 // needs up to 4 s of no answer, 1 s a node and one report interval.
 constexpr double kTakeoverGrace = 8;
@@ -222,44 +214,22 @@
 }
 
 // A machine that this leader rented has come up.
-void Core::note_boot(const Machine& m, double now) {
+void Core::record_boot(const Machine& m, double now) {
   if (m.type == kNone || m.hired_at <= started_) return;
-  type_state_[m.type].boots.emplace_back(now, now - m.hired_at);
+  type_state_[m.type].boots.record(now, now - m.hired_at);
 }
 
-// Boots take what they take of late: a machine is late when most others would be up.
-double Core::late_after(const Machine& m) const {
-  if (m.type == kNone) return kLateBoot * kUnknownBoot;
-  return kLateBoot * type_state_[m.type].usual_boot;
+const BootStatistics& Core::boots_of(const Machine& m) const {
+  return m.type == kNone ? unknown_type_boots_ : type_state_[m.type].boots;
 }
 
-// When a machine that is not up is given up: not just before others of its age come up.
-double Core::lost_after(const Machine& m) const {
-  const double patience = settings_.tuning.boot_patience;
-  if (m.type == kNone) return patience * kUnknownBoot;
-  const double least = patience * types_[m.type].boot_s;
-  return std::clamp(kBootMargin * type_state_[m.type].longest_boot, least, 2 * least);
-}
-
-void Core::watch_boots(double now) {
-  std::vector<size_t> late(types_.size());
+void Core::update_boots(double now) {
+  std::vector<size_t> overdue(types_.size());
   for (const auto& m : machines_)
     if (m->state == MachineState::booting && !m->was_up && m->type != kNone &&
-        m->hired_at > started_ && now - m->hired_at > kLateBoot * types_[m->type].boot_s)
-      ++late[m->type];
-  for (Index t = 0; t < types_.size(); ++t) {
-    TypeState& s = type_state_[t];
-    while (!s.boots.empty() && s.boots.front().first < now - kBootMemory) s.boots.pop_front();
-    s.all_late = late[t] >= kBootsToLearn && late[t] > s.boots.size();
-    std::vector<double> ages;
-    for (const auto& [at, age] : s.boots) ages.push_back(age);
-    s.usual_boot = types_[t].boot_s;
-    s.longest_boot = ages.empty() ? 0 : *std::max_element(ages.begin(), ages.end());
-    if (ages.size() < kBootsToLearn) continue;
-    const auto middle = ages.begin() + static_cast<std::ptrdiff_t>(ages.size() / 2);
-    std::nth_element(ages.begin(), middle, ages.end());
-    s.usual_boot = std::max(s.usual_boot, *middle);
-  }
+        m->hired_at > started_ && now - m->hired_at > boots_of(*m).overdue_after())
+      ++overdue[m->type];
+  for (Index t = 0; t < types_.size(); ++t) type_state_[t].boots.update(now, overdue[t]);
 }
 
 bool Core::counts(const Machine& m, double now) const {
@@ -270,8 +240,8 @@
     if (m.was_up) return now - m.last_report <= unheard_limit(m);
     // Late ones are replaced, but not while nearly all are late: the cloud would be as slow with
     // those that took their place, and each would be rented twice.
-    const bool all_late = m.type != kNone && type_state_[m.type].all_late;
-    return now - m.hired_at <= (all_late ? lost_after(m) : late_after(m));
+    const BootStatistics& boots = boots_of(m);
+    return now - m.hired_at <= (boots.most_are_late() ? boots.lost_after() : boots.late_after());
   }
   if (m.state != MachineState::ready) return false;
   return now - m.last_report <= (many_silent_ ? patience() : silence_limit());
@@ -456,7 +426,7 @@
   // They come back one by one: the last of a cut are waited for as the first were.
   if (many_silent(now)) many_silent_until_ = now + kTakeoverGrace;
   many_silent_ = now < many_silent_until_;
-  watch_boots(now);
+  update_boots(now);
   // Many machines that heed nothing at once are our own slowness.
   size_t heard = 0, unheeding = 0;
   for (const auto& m : machines_)
@@ -494,7 +464,7 @@
           if (silent > unheard_limit(m)) condemn(m, "not heard since the takeover");
         } else if (m.unlisted_at >= 0 && now - m.hired_at > 2 * settings_.list_lag_s + 5) {
           condemn(m, "rented under a predecessor and not listed");
-        } else if (now - m.hired_at > lost_after(m)) {
+        } else if (now - m.hired_at > boots_of(m).lost_after()) {
           condemn(m, "never came up");
         }
         break;
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -45,7 +45,7 @@
       m.zone = zone_names_.intern(r.zone);
       m.spot = r.spot;
     }
-    note_boot(m, now);
+    record_boot(m, now);
     m.heard = true;
     m.mute = 0;
     m.mute_since = -1;
