Tests that fail: faulty arrays and starved arrays are given other shares than said

- AFaultyArrayIsTriedWithOneTaskAtATime: 4 at once and 24 starts in 240 s, not 1 and 5.
Core::place_array starts one task a call, in every round until the first error is reported.
- AStarvedArraysTurnIsNotOverWithItsFirstTasks: 2 starts of 20.
Core::place_array sets last_start with the first tasks, and the array is starved no more, though a sixteenth of it has not begun.

--- a/tests/core_troubles_test.cpp
+++ b/tests/core_troubles_test.cpp
@@ -150,6 +150,21 @@
   for (const char* id : {"wk-000001", "wk-000002"}) EXPECT_FALSE(core.find_job(id));
 }
 
+// Once it is known, one task shows whether it still fails, and the next one waits for its back-off.
+TEST_F(Deployment, AFaultyArrayIsTriedWithOneTaskAtATime) {
+  add_machines(6);
+  submit("wk-000001", 48, 4, -2);
+  run_until(60);
+  const size_t at_first = starts["wk-000001"];
+  size_t most = 0;
+  while (now < 300) {
+    run_until(now + 1);
+    most = std::max(most, running("wk-000001"));
+  }
+  EXPECT_EQ(most, 1u);
+  EXPECT_LE(starts["wk-000001"] - at_first, 5u);  // the back-off is a minute by then
+}
+
 TEST_F(Deployment, AFaultyArrayAsksForOneTasksRoom) {
   add_machines(6);
   submit("wk-000001", 48, 4, -2);
@@ -221,6 +236,16 @@
   EXPECT_GE(starts["wk-000001"], 1u);
 }
 
+// The turn of a starved array is a sixteenth of its tasks, however few places are free at a time.
+TEST_F(Guests, AStarvedArraysTurnIsNotOverWithItsFirstTasks) {
+  for (int i = 0; i < 180; ++i) {
+    for (int k = 0; k < 2; ++k) submit("wk-" + std::to_string(100000 + 2 * i + k), 1, 1, 10);
+    if (i == 20) submit("wk-000001", 320, 1, 5, "guests");
+    run_until(now + 1);
+  }
+  EXPECT_GE(starts["wk-000001"], 320u / 16);
+}
+
 // ---- machines that never come up
 
 TEST_F(Deployment, MachinesThatNeverComeUpAreReplacedAsNeededAndReturned) {
