--- a/src/core/core.h
+++ b/src/core/core.h
@@ -74,7 +74,8 @@
   std::vector<double> start_within;  // what its class is promised of starting
   bool guaranteed = false;           // within its team's guarantee, as of this round
   double urgency = 0;                // as of this round, smallest first
-  double last_start = -1;            // a task of it was last placed
+  double last_start = -1;            // a task of it was last placed, or its turn was over
+  uint32_t turn_left = 0;            // a starved array's: tasks that it may still begin
   double aborted_at = -1;
   double not_before = 0;     // back-off after errors of its own
   double retry_at = 0;       // after a refused transaction
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -310,8 +310,11 @@
   if (known_full(job, 1)) return false;
   const uint64_t number = job.top + 1;
   const bool late = starved(job, now);
-  uint32_t most = late ? starved_share(job) : UINT32_MAX;
-  if (faulty(job)) most = 1;  // one shows whether it still fails
+  if (late && job.turn_left == 0) job.turn_left = starved_share(job);
+  uint32_t most = late ? job.turn_left : UINT32_MAX;
+  // One task shows whether it still fails. The next one waits for that and for the back-off: the
+  // error of the first is reported only after rounds in which more would have been started.
+  if (faulty(job)) most = job.attempts.empty() ? 1 : 0;
   size_t began = 0;
   for (const Place& p : places(job, now, nullptr, warm_only)) {
     for (uint32_t k = 0; k < p.slots && budget > 0 && most > 0; ++k) {
@@ -320,11 +323,16 @@
       propose(job, *job.waiting.begin(), number, p.machine, now);
       --budget;
       --most;
+      if (late) --job.turn_left;
       ++began;
     }
     if (job.waiting.empty() || budget <= 0 || most == 0 || !within_limit(job, 1)) break;
   }
-  if (began > 0) job.last_start = now;
+  // In a full fleet places come free a few at a time: its turn lasts until its share has begun.
+  if (began > 0 && (!late || job.turn_left == 0 || job.waiting.empty())) {
+    job.last_start = now;
+    job.turn_left = 0;
+  }
   return job.waiting.empty() || budget <= 0 || most == 0 || !within_limit(job, 1);
 }
 
