A new leader calls machines that have not come to it after 1 s

The new leader called them only 1.3 report intervals and 1.5 s after its election, and starts nothing on a machine it has not heard.

Scenario called_by_a_new_leader fails without.

--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -16,6 +16,17 @@
 constexpr double kSuspectFor = 20;
 // A job that failed on this many machines is taken for faulty itself.
 constexpr size_t kFaultyJobAfter = 3;
+// A new leader calls machines that have not come to it from this moment on: until then those whose
+// leader ended with a closed connection begin to come by themselves.
+constexpr double kIntroduceAfter = 1;
+// With so many machines called in vain the others are left to come by themselves for a while: each
+// such call keeps a thread that direct orders need.
+constexpr int kMostCalledInVain = 10;
+
+// By when workers that can find their way to a leader of that start have mostly come.
+double expected_by(double started, const Settings& settings) {
+  return started + 1.3 * settings.report_s + 1.5;
+}
 
 AttemptState phase(Seen s) {
   switch (s) {
@@ -354,17 +365,23 @@
 
 // Workers stay with the controller that answers them: a deposed leader that is cut from its
 // siblings and the state service, but not from its workers, would keep them. A direct call, if only
-// with our token, makes their next report to it carry the news.
+// with our token, makes their next report to it carry the news. And workers of a leader that stands
+// still or fell away wait for its answer first, and then perhaps for that of another node that is
+// gone: until they come, calls tell what runs there and start what waits.
 std::optional<Direct> Core::introduction(double now) {
-  const double wait = 1.3 * settings_.report_s + 1.5;
-  if (now - started_ < wait || now < introduce_at_) return std::nullopt;
+  if (now - started_ < kIntroduceAfter || now < introduce_at_) return std::nullopt;
+  const double expected = expected_by(started_, settings_);
+  const auto in_vain = std::count_if(machines_.begin(), machines_.end(), [](const auto& m) {
+    return m->introductions > 0 && !m->heard && !m->direct_in_flight;
+  });
+  if (in_vain >= kMostCalledInVain && now < expected) return std::nullopt;
   for (const auto& mp : machines_) {
     Machine& m = *mp;
-    if (m.heard || m.addr.empty() || m.direct_in_flight || m.introductions >= 3) continue;
+    if (m.heard || m.addr.empty() || m.direct_in_flight || m.introductions >= 4) continue;
     if (m.state != MachineState::booting || now < m.introduce_at) continue;
     if (!m.was_up && m.mute == 0) continue;
     ++m.introductions;
-    m.introduce_at = now + 3;
+    m.introduce_at = std::max(now + 3, expected);
     m.direct_in_flight = true;
     Direct d;
     d.machine = m.index;
@@ -444,6 +461,8 @@
       return;
     }
     on_report(*r, now);
+    // It still has to find its way to us: its silence means something no sooner than without this.
+    m.last_report = std::max(m.last_report, expected_by(started_, settings_));
     return;
   }
   if (r->session != m.session || r->seq <= m.seq) return;
