Stand-ins: an answer 404 after the acceptance does not start the close looks anew

With polls answered without a barrier (SimNode::user, a poll's early return before the barrier, on a scratch copy) the looks multiplied without end.

--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -1453,14 +1453,15 @@
   if (it == jobs.end()) return;
   UserJob& j = it->second;
   const bool over = j.told == "done" || j.told == "aborted";
-  const bool first = (j.told.empty() || j.told == "404") && a != "404";
+  const bool first = j.told.empty() && a != "404";
   if (first || (!over && (a == "done" || a == "aborted"))) {
     if (a == "aborted") meet_cancelled(j);
     close_looks(id);
     // Some cancel what was accepted just now.
     if (clock.now < close_looks_until && first && chance() < 0.15) abort(id);
   }
-  if (over && (a == "pending" || a == "running" || a == "404")) return;  // on its way
+  if (a == "404") return;  // not accepted yet, or the checker has said what it is
+  if (over && (a == "pending" || a == "running")) return;  // on its way
   j.told = a;
   if (a == "done" && j.done_at < 0) j.done_at = clock.now;
   if (a == "aborted" && j.aborted_at < 0) j.aborted_at = clock.now;
