core: the rented list is a class of its own, RentedList

Cause: which rows of the rented list have changed, at what revision they were left, when they are written and how they are encoded lay in `Core`, in five members and four functions beside renting and returning. `RentedList` has the rows, is told the time and asks for a machine by its index; `Core` decides when it is its turn and keeps the transaction. The rows keep their format and order.

Behaviour is meant to stay: no test was changed, seven unit tests are new.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -18,7 +18,6 @@
 constexpr double kGatherClosings = 0.5;
 constexpr size_t kLeastClosings = 4;  // at once, whatever is left of the rate of changes
 constexpr double kPutOff = 4;
-constexpr double kFleetPutOff = 6;
 constexpr double kUnknownBoot = 60;  // of a machine whose type is not known yet
 }  // namespace
 
@@ -27,7 +26,8 @@
       types_(std::move(types)),
       token_(token),
       started_(now),
-      unknown_type_boots_(kUnknownBoot, settings.tuning.boot_patience) {
+      unknown_type_boots_(kUnknownBoot, settings.tuning.boot_patience),
+      rented_list_(settings.value_bytes) {
   for (const std::string& z : settings_.zones) zone_names_.intern(z);
   for (const TeamInfo& t : settings_.teams) team_names_.intern(t.name);
   for (const TypeInfo& t : types_) {
@@ -109,7 +109,7 @@
     Machine& m = *machines_[i];
     m.name = name;
     m.hired_at = m.last_report = now;
-    mark_fleet(m);
+    rented_list_.mark_changed(m.index);
   }
   return *machines_[i];
 }
@@ -606,9 +606,8 @@
     closing_since_ = now;
     if (auto t = closing_transaction(now, room)) return t;
   }
-  // The rented list too is put off only so long: a successor would count machines that are gone,
-  // and hire none in their place until the cloud's list shows it.
-  if (pick == kNone || now - fleet_written_ > kFleetPutOff)
+  // The rented list too is put off only so long.
+  if (pick == kNone || rented_list_.overdue(now))
     if (auto f = fleet_transaction(now)) return f;
   if (pick != kNone) return page_transaction(pick, now);
   return std::nullopt;
@@ -654,13 +653,7 @@
       settle_closing(f, r);
       break;
     case Flight::Kind::fleet:
-      fleet_in_flight_ = false;
-      for (const ledger::Change& c : f.txn.changes) {
-        if (applied)
-          fleet_stamps_[c.key] = r.revision;
-        else
-          fleet_dirty_.insert(ledger::fleet_row(c.key).value());
-      }
+      rented_list_.on_result(f.txn, r);
       break;
   }
   for (Index j : f.jobs) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -23,6 +23,7 @@
 #include "core/forecast.h"
 #include "core/ledger.h"
 #include "core/mirror.h"
+#include "core/rented_list.h"
 #include "core/settings.h"
 #include "core/states.h"
 #include "core/types.h"
@@ -387,8 +388,6 @@
   bool holds_overdue(const Machine& m, double now) const;
   void drop_machine(Machine& m, double now, const char* why);
   std::optional<PendingTransaction> fleet_transaction(double now);
-  size_t fleet_per_row() const;
-  void mark_fleet(const Machine& m);
   void load_fleet(const Mirror& mirror, double now);
 
   Settings settings_;
@@ -462,10 +461,7 @@
   double hire_at_ = 0, hire_retry_at_ = 0;
   std::deque<Hire> hires_;  // wanted and unanswered, oldest first
   bool hire_in_flight_ = false;
-  double fleet_written_ = -1e9;
-  std::set<uint32_t> fleet_dirty_;  // rows of the rented list
-  bool fleet_in_flight_ = false;
-  std::map<std::string, uint64_t> fleet_stamps_;
+  RentedList rented_list_;
 };
 
 }  // namespace rookdyke
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -9,16 +9,11 @@
 
 namespace rookdyke {
 
-using nlohmann::json;
-
 namespace {
 
 // A new leader's machines get this long to find it before their silence means anything: a worker
 // needs up to 4 s of no answer, 1 s a node and one report interval.
 constexpr double kTakeoverGrace = 8;
-// The design's rented list is written at most this often (it has: at most every 2 s). Its rows cost
-// writes that starts wait for, and the cloud's list tells a new leader the same a little later.
-constexpr double kFleetWriteEvery = 4;
 // After the lull machines are drained once in this time, as long as the target stays below: one, or
 // this share of the surplus. One a sample (5 s) left thirty of forty machines idle for two minutes
 // after the last burst; one a second would take ten minutes over six hundred.
@@ -37,8 +32,6 @@
 // What replacing a machine takes, in boot times: until it is up and has fetched its first image.
 constexpr double kReplace = 1.25;
 constexpr double kMostHired = 50;  // in one request
-constexpr size_t kFleetNameBytes = 24;
-constexpr size_t kFleetRows = 4;  // a transaction: it is 64 KiB at most
 
 }  // namespace
 
@@ -517,7 +510,7 @@
         m.zone = z;
         m.spot = hire.spot;
         m.hired_at = now;
-        mark_fleet(m);
+        rented_list_.mark_changed(m.index);
       }
       spdlog::info("hired {} of {} {} {} machines in {}", names.size(), hire.count,
                    hire.spot ? "spot" : "ordinary", hire.type, hire.zone);
@@ -557,7 +550,7 @@
   if (!set_state(m, MachineState::gone, why)) return;
   const auto here = m.tasks;
   for (const auto& [j, t] : here) end_attempt(*jobs_[j], t, Cause::none, now, why);
-  mark_fleet(m);
+  rented_list_.mark_changed(m.index);
 }
 
 void Core::on_return(const std::vector<std::string>& names, CloudOutcome outcome, double now) {
@@ -585,7 +578,7 @@
       m.type = type_names_.find(l.type);
       m.zone = zone_names_.intern(l.zone);
       m.spot = l.spot;
-      mark_fleet(m);
+      rented_list_.mark_changed(m.index);
     }
     if (m.addr.empty()) m.addr = l.addr;
     if (!m.heard) m.hired_at = std::min(m.hired_at, now - l.age_s);
@@ -607,44 +600,20 @@
   }
 }
 
-size_t Core::fleet_per_row() const {
-  return std::max<size_t>(1, ledger::page_room(settings_.value_bytes) / kFleetNameBytes);
-}
-
-// A machine's row follows from its index, so that a change touches one row.
-void Core::mark_fleet(const Machine& m) {
-  fleet_dirty_.insert(static_cast<uint32_t>(m.index / fleet_per_row()));
-}
-
 std::optional<PendingTransaction> Core::fleet_transaction(double now) {
-  if (fleet_dirty_.empty() || fleet_in_flight_ || now - fleet_written_ < kFleetWriteEvery)
-    return std::nullopt;
-  fleet_in_flight_ = true;
-  fleet_written_ = now;
+  if (!rented_list_.can_write(now)) return std::nullopt;
+  const auto listed = [this](Index i) -> std::optional<RentedMachine> {
+    if (i >= machines_.size()) return std::nullopt;
+    const Machine& m = *machines_[i];
+    if (m.state == MachineState::gone || m.type == kNone) return std::nullopt;
+    return RentedMachine{m.name, m.type, m.zone, m.spot};
+  };
   const uint64_t id = ++next_txn_;
   Flight f;
   f.kind = Flight::Kind::fleet;
   f.txn.mark = mark_of(id);
   f.txn.conditions = {{ledger::kLeaderKey, token_}};
-  const size_t per = fleet_per_row();
-  while (!fleet_dirty_.empty() && f.txn.changes.size() < std::min(settings_.txn_ops, kFleetRows)) {
-    const uint32_t n = *fleet_dirty_.begin();
-    fleet_dirty_.erase(fleet_dirty_.begin());
-    std::map<std::tuple<Index, Index, bool>, json> groups;
-    for (size_t i = n * per; i < std::min(machines_.size(), (n + 1) * per); ++i) {
-      const Machine& m = *machines_[i];
-      if (m.state == MachineState::gone || m.type == kNone) continue;
-      groups[{m.type, m.zone, m.spot}].push_back(m.name);
-    }
-    json rows = json::array();
-    for (auto& [k, names] : groups)
-      rows.push_back(json::array({types_[std::get<0>(k)].name, zone_names_.name(std::get<1>(k)),
-                                  std::get<2>(k), std::move(names)}));
-    const std::string key = ledger::fleet_key(n);
-    auto known = fleet_stamps_.find(key);
-    f.txn.conditions.push_back({key, known == fleet_stamps_.end() ? 0 : known->second});
-    f.txn.changes.push_back({key, false, {{"machines", std::move(rows)}, {"w", f.txn.mark}}, 0});
-  }
+  rented_list_.write(now, settings_.txn_ops, listed, type_names_, zone_names_, f.txn);
   PendingTransaction p{id, f.txn, false};
   flights_[id] = std::move(f);
   return p;
@@ -652,27 +621,11 @@
 
 // The rented list as a predecessor left it.
 void Core::load_fleet(const Mirror& mirror, double now) {
-  for (const auto& [key, row] : mirror.fleet()) {
-    const auto n = ledger::fleet_row(key);
-    if (!n) continue;
-    fleet_stamps_[key] = row.first;
-    fleet_dirty_.insert(*n);
-    if (!row.second.contains("machines") || !row.second["machines"].is_array()) {
-      spdlog::error("ledger: row {} cannot be read", key);
-      continue;
-    }
-    for (const json& e : row.second["machines"]) {
-      if (!e.is_array() || e.size() < 4 || !e[0].is_string() || !e[1].is_string() ||
-          !e[2].is_boolean() || !e[3].is_array())
-        continue;
-      for (const json& name : e[3]) {
-        if (!name.is_string() || name.get_ref<const std::string&>().empty()) continue;
-        Machine& m = machine(name.get<std::string>(), now);
-        m.type = type_names_.find(e[0].get<std::string>());
-        m.zone = zone_names_.intern(e[1].get<std::string>());
-        m.spot = e[2].get<bool>();
-      }
-    }
+  for (const RentedMachine& rented : rented_list_.load(mirror.fleet(), type_names_, zone_names_)) {
+    Machine& m = machine(rented.name, now);
+    m.type = rented.type;
+    m.zone = rented.zone;
+    m.spot = rented.spot;
   }
 }
 
--- /dev/null
+++ b/src/core/rented_list.cpp
@@ -0,0 +1,118 @@
+#include "core/rented_list.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace rookdyke {
+
+using nlohmann::json;
+
+namespace {
+
+// The design's rented list is written at most this often (it has: at most every 2 s). Its rows cost
+// writes that starts wait for, and the cloud's list tells a new leader the same a little later.
+constexpr double kWriteInterval = 4;  // seconds
+// Nor is it put off for longer than this: a successor would count machines that are gone, and rent
+// none in their place until the cloud's list shows it.
+constexpr double kLongestDelay = 6;  // seconds
+constexpr size_t kNameBytes = 24;    // set aside in a row for a machine
+constexpr size_t kMostRows = 4;      // in a transaction: it is 64 KiB at most
+
+bool readable(const json& group) {
+  return group.is_array() && group.size() >= 4 && group[0].is_string() && group[1].is_string() &&
+         group[2].is_boolean() && group[3].is_array();
+}
+
+// Appends the machines of one group: [type, zone, spot, [names]].
+void decode_group(const json& group, const Names& types, Names& zones,
+                  std::vector<RentedMachine>& machines) {
+  if (!readable(group)) return;
+  for (const json& name : group[3]) {
+    if (!name.is_string() || name.get_ref<const std::string&>().empty()) continue;
+    RentedMachine machine;
+    machine.name = name.get<std::string>();
+    machine.type = types.find(group[0].get<std::string>());
+    machine.zone = zones.intern(group[1].get<std::string>());
+    machine.spot = group[2].get<bool>();
+    machines.push_back(std::move(machine));
+  }
+}
+
+}  // namespace
+
+RentedList::RentedList(size_t value_bytes)
+    : machines_per_row_(
+          static_cast<uint32_t>(std::max<size_t>(1, ledger::page_room(value_bytes) / kNameBytes))) {
+}
+
+std::vector<RentedMachine> RentedList::load(const Rows& rows, const Names& types, Names& zones) {
+  std::vector<RentedMachine> machines;
+  for (const auto& [key, row] : rows) {
+    const auto number = ledger::fleet_row(key);
+    if (!number) continue;
+    const auto& [revision, value] = row;
+    revisions_[key] = revision;
+    changed_.insert(*number);
+    if (!value.contains("machines") || !value["machines"].is_array()) {
+      spdlog::error("ledger: row {} cannot be read", key);
+      continue;
+    }
+    for (const json& group : value["machines"]) decode_group(group, types, zones, machines);
+  }
+  return machines;
+}
+
+void RentedList::mark_changed(Index machine) { changed_.insert(machine / machines_per_row_); }
+
+bool RentedList::can_write(double now) const {
+  if (changed_.empty() || in_flight_) return false;
+  return !written_at_ || now - *written_at_ >= kWriteInterval;
+}
+
+bool RentedList::overdue(double now) const {
+  return !written_at_ || now - *written_at_ > kLongestDelay;
+}
+
+json RentedList::encode_row(uint32_t row, const Lookup& machine, const Names& types,
+                            const Names& zones) const {
+  std::map<std::tuple<Index, Index, bool>, json> groups;  // names by type, zone and kind
+  const Index first = row * machines_per_row_;
+  for (Index i = first; i < first + machines_per_row_; ++i)
+    if (const auto m = machine(i)) groups[{m->type, m->zone, m->spot}].push_back(m->name);
+  json encoded = json::array();
+  for (auto& [key, names] : groups) {
+    const auto& [type, zone, spot] = key;
+    encoded.push_back(json::array({types.name(type), zones.name(zone), spot, std::move(names)}));
+  }
+  return encoded;
+}
+
+void RentedList::write(double now, size_t transaction_rows, const Lookup& machine,
+                       const Names& types, const Names& zones, ledger::Transaction& transaction) {
+  in_flight_ = true;
+  written_at_ = now;
+  const size_t most = std::min(transaction_rows, kMostRows);
+  while (!changed_.empty() && transaction.changes.size() < most) {
+    const uint32_t row = *changed_.begin();
+    changed_.erase(changed_.begin());
+    const std::string key = ledger::fleet_key(row);
+    const auto known = revisions_.find(key);
+    transaction.conditions.push_back({key, known == revisions_.end() ? 0 : known->second});
+    json value = {{"machines", encode_row(row, machine, types, zones)}, {"w", transaction.mark}};
+    transaction.changes.push_back({key, false, std::move(value), 0});
+  }
+}
+
+void RentedList::on_result(const ledger::Transaction& transaction, const ledger::Result& result) {
+  in_flight_ = false;
+  for (const ledger::Change& change : transaction.changes) {
+    if (result.outcome == ledger::Outcome::applied)
+      revisions_[change.key] = result.revision;
+    else
+      changed_.insert(ledger::fleet_row(change.key).value());
+  }
+}
+
+}  // namespace rookdyke
--- /dev/null
+++ b/tests/rented_list_test.cpp
@@ -0,0 +1,166 @@
+// The rows of the rented list: what is written when, and what a successor reads.
+
+#include "core/rented_list.h"
+
+#include <gtest/gtest.h>
+
+namespace rookdyke {
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kValueBytes = 8192;
+
+class RentedListTest : public testing::Test {
+ protected:
+  RentedListTest() {
+    types_.intern("large");
+    types_.intern("small");
+    zones_.intern("east");
+    zones_.intern("west");
+  }
+
+  std::optional<RentedMachine> machine(Index index) const {
+    if (index >= machines_.size()) return std::nullopt;
+    return machines_[index];
+  }
+
+  void add(const std::string& name, Index type, Index zone, bool spot) {
+    list_.mark_changed(static_cast<Index>(machines_.size()));
+    machines_.push_back(RentedMachine{name, type, zone, spot});
+  }
+
+  // More machines than a row takes, so that a second one begins.
+  void fill_a_row() {
+    for (int i = 0; i < 400; ++i) add("m-" + std::to_string(i), 0, 0, false);
+  }
+
+  ledger::Transaction write(double now, size_t rows = 8) {
+    ledger::Transaction transaction;
+    transaction.mark = "7.1";
+    list_.write(
+        now, rows, [this](Index i) { return machine(i); }, types_, zones_, transaction);
+    return transaction;
+  }
+
+  void settle(const ledger::Transaction& transaction, ledger::Outcome outcome,
+              uint64_t revision = 0) {
+    list_.on_result(transaction, {outcome, revision, {}});
+  }
+
+  Names types_, zones_;
+  std::vector<std::optional<RentedMachine>> machines_;
+  RentedList list_{kValueBytes};
+};
+
+TEST_F(RentedListTest, ARowGroupsItsMachinesByTypeZoneAndKind) {
+  add("m-1", 1, 0, true);
+  add("m-2", 0, 1, false);
+  add("m-3", 1, 0, true);
+  machines_.push_back(std::nullopt);  // gone
+  const ledger::Transaction transaction = write(1);
+  ASSERT_EQ(transaction.changes.size(), 1u);
+  EXPECT_EQ(transaction.changes[0].key, ledger::fleet_key(0));
+  EXPECT_FALSE(transaction.changes[0].erase);
+  EXPECT_EQ(transaction.changes[0].value, json::parse(R"({"w": "7.1", "machines": [
+      ["large", "west", false, ["m-2"]], ["small", "east", true, ["m-1", "m-3"]]]})"));
+}
+
+TEST_F(RentedListTest, ARowIsWrittenOnTheRevisionItWasLeftAt) {
+  add("m-1", 0, 0, false);
+  const ledger::Transaction first = write(1);
+  ASSERT_EQ(first.conditions.size(), 1u);
+  EXPECT_EQ(first.conditions[0].key, ledger::fleet_key(0));
+  EXPECT_EQ(first.conditions[0].stamp, 0u) << "it must not exist yet";
+  settle(first, ledger::Outcome::applied, 12);
+  list_.mark_changed(0);
+  EXPECT_EQ(write(5).conditions.at(0).stamp, 12u);
+}
+
+TEST_F(RentedListTest, OneWriteAtATimeAndNoMoreOftenThanEveryFourSeconds) {
+  EXPECT_FALSE(list_.can_write(1)) << "nothing has changed";
+  add("m-1", 0, 0, false);
+  EXPECT_TRUE(list_.can_write(1));
+  const ledger::Transaction first = write(1);
+  add("m-2", 0, 0, false);
+  EXPECT_FALSE(list_.can_write(10)) << "the first is under way";
+  settle(first, ledger::Outcome::applied, 12);
+  EXPECT_FALSE(list_.can_write(4.9));
+  EXPECT_TRUE(list_.can_write(5));
+  EXPECT_FALSE(list_.overdue(7));
+  EXPECT_TRUE(list_.overdue(7.1));
+}
+
+TEST_F(RentedListTest, WhatWasNotWrittenIsWrittenAgain) {
+  add("m-1", 0, 0, false);
+  settle(write(1), ledger::Outcome::refused);
+  EXPECT_TRUE(list_.can_write(5));
+  const ledger::Transaction again = write(5);
+  ASSERT_EQ(again.changes.size(), 1u);
+  EXPECT_EQ(again.conditions.at(0).stamp, 0u);
+  settle(again, ledger::Outcome::applied, 12);
+  EXPECT_FALSE(list_.can_write(9));
+}
+
+TEST_F(RentedListTest, OnlyChangedRowsAreWrittenSoManyAtATime) {
+  fill_a_row();
+  const ledger::Transaction first = write(1, 1);
+  ASSERT_EQ(first.changes.size(), 1u);
+  EXPECT_EQ(first.changes[0].key, ledger::fleet_key(0));
+  EXPECT_LE(first.changes[0].value.dump().size(), kValueBytes);
+  settle(first, ledger::Outcome::applied, 12);
+  const ledger::Transaction second = write(5, 1);
+  ASSERT_EQ(second.changes.size(), 1u);
+  EXPECT_EQ(second.changes[0].key, ledger::fleet_key(1));
+  settle(second, ledger::Outcome::applied, 13);
+  list_.mark_changed(399);
+  const ledger::Transaction third = write(9);
+  ASSERT_EQ(third.changes.size(), 1u);
+  EXPECT_EQ(third.changes[0].key, ledger::fleet_key(1));
+}
+
+TEST_F(RentedListTest, ASuccessorReadsWhatItsPredecessorWrote) {
+  add("m-1", 1, 0, true);
+  add("m-2", 0, 1, false);
+  const ledger::Transaction transaction = write(1);
+  RentedList successor(kValueBytes);
+  RentedList::Rows rows;
+  for (const ledger::Change& change : transaction.changes) rows[change.key] = {12, change.value};
+  const auto machines = successor.load(rows, types_, zones_);
+  ASSERT_EQ(machines.size(), 2u);
+  EXPECT_EQ(machines[0].name, "m-2");
+  EXPECT_EQ(machines[0].type, 0u);
+  EXPECT_EQ(machines[0].zone, 1u);
+  EXPECT_FALSE(machines[0].spot);
+  EXPECT_EQ(machines[1].name, "m-1");
+  EXPECT_EQ(machines[1].type, 1u);
+  EXPECT_EQ(machines[1].zone, 0u);
+  EXPECT_TRUE(machines[1].spot);
+  EXPECT_TRUE(successor.can_write(2)) << "it writes the list as it knows it";
+  ledger::Transaction own;
+  successor.write(
+      2, 8, [](Index) { return std::nullopt; }, types_, zones_, own);
+  EXPECT_EQ(own.conditions.at(0).stamp, 12u);
+}
+
+TEST_F(RentedListTest, EntriesOfAnyShapeAreOutlived) {
+  const json odd = json::parse(R"({"machines": [3, ["large", "east", false], ["large", "east", 1,
+      ["m-1"]], ["large", "east", false, [7, "", "m-2"]], ["former", "north", true, ["m-3"]]]})");
+  RentedList::Rows rows;
+  rows[ledger::fleet_key(0)] = {3, odd};
+  rows[ledger::fleet_key(1)] = {4, json(5)};
+  rows[ledger::fleet_key(2)] = {5, json::parse(R"({"machines": "none"})")};
+  rows["elsewhere"] = {6, odd};
+  const auto machines = list_.load(rows, types_, zones_);
+  ASSERT_EQ(machines.size(), 2u);
+  EXPECT_EQ(machines[0].name, "m-2");
+  EXPECT_EQ(machines[1].name, "m-3");
+  EXPECT_EQ(machines[1].type, kNone);
+  EXPECT_EQ(zones_.name(machines[1].zone), "north");
+  const ledger::Transaction transaction = write(1);
+  ASSERT_EQ(transaction.conditions.size(), 3u);
+  EXPECT_EQ(transaction.conditions[1].stamp, 4u) << "a row that cannot be read keeps its revision";
+}
+
+}  // namespace
+}  // namespace rookdyke
