--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -21,13 +21,13 @@
 constexpr double kUnknownBoot = 60;  // of a machine whose type is not known yet
 }  // namespace
 
-Core::Core(const Settings& settings, std::vector<TypeInfo> types, uint64_t token, double now)
-    : settings_(settings),
+Core::Core(Settings settings, std::vector<TypeInfo> types, uint64_t token, double now)
+    : settings_(std::move(settings)),
       types_(std::move(types)),
       token_(token),
       started_(now),
-      unknown_type_boots_(kUnknownBoot, settings.tuning.boot_patience),
-      rented_list_(settings.value_bytes) {
+      unknown_type_boots_(kUnknownBoot, settings_.tuning.boot_patience),
+      rented_list_(settings_.value_bytes) {
   for (const std::string& z : settings_.zones) zone_names_.intern(z);
   for (const TeamInfo& t : settings_.teams) team_names_.intern(t.name);
   for (const TypeInfo& t : types_) {
