--- a/src/api/user_api.cpp
+++ b/src/api/user_api.cpp
@@ -236,11 +236,11 @@
     c.row.tasks = job->row.tasks;
     c.row.per = job->row.per;
     c.row.spec = job->row.spec;
-    c.transaction.conditions = {{ledger::job_key(id), job->stamp}};
+    c.transaction.conditions = {{ledger::job_key(id), job->version}};
     // Held at the time of the write, so that we know who has to hear of it. While nobody leads
     // the next leader finds the row; its user has to ask again.
     if (!mirror.leader().empty()) {
-      c.leader = mirror.leader_stamp();
+      c.leader = mirror.leader_version();
       c.transaction.conditions.push_back({ledger::kLeaderKey, c.leader});
     }
   });
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -45,9 +45,9 @@
   return wire::parse_types(a.body);
 }
 
-Client::Hired Client::hire(const Hire& h, const MaySend& may_send) {
-  Hired out;
-  const json body = wire::hire(h);
+Client::RentalResult Client::rent(const RentalRequest& h, const MaySend& may_send) {
+  RentalResult out;
+  const json body = wire::rent(h);
   const Answer a = call(true, "/machines", &body, may_send);
   if (a.status == 200) {
     if (auto names = wire::parse_hired(a.body)) {
--- a/src/cloud/client.h
+++ b/src/cloud/client.h
@@ -20,14 +20,14 @@
   Client(const Endpoint& at, net::Budget& budget);
 
   std::optional<std::vector<TypeInfo>> types();
-  struct Hired {
+  struct RentalResult {
     CloudOutcome outcome = CloudOutcome::unknown;
     std::vector<std::string> machines;
   };
-  // Asked right before the request goes out, after any wait for the budget: a hire or a return that
-  // was decided by a leader which is none any more is not sent.
+  // Asked right before the request goes out, after any wait for the budget: a rental request or a
+  // return that was decided by a leader which is none any more is not sent.
   using MaySend = std::function<bool()>;
-  Hired hire(const Hire& h, const MaySend& may_send);
+  RentalResult rent(const RentalRequest& h, const MaySend& may_send);
   CloudOutcome give_back(const std::vector<std::string>& names, const MaySend& may_send);
   // All pages; empty on any failure.
   std::optional<std::vector<ListedMachine>> list();
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -123,7 +123,7 @@
 }
 
 size_t connections_from_outside(const Config& c) {
-  // Listeners, polls, clients of the state service and the cloud, direct orders: some thirty; one
+  // Listeners, polls, clients of the state service and the cloud, direct commands: some thirty; one
   // to each sibling. A rush leaves some connections between the network and us.
   const size_t own = 40 + c.siblings.size() + connections_from_siblings(c) + c.max_sockets / 32;
   return c.max_sockets > 2 * own ? c.max_sockets - own : c.max_sockets / 2;
@@ -184,7 +184,7 @@
                   {"fleet",
                    {{"lull_s", {&t.lull_s, nullptr, 0, 86400}},
                     {"drain_deadline_s", {&t.drain_deadline_s, nullptr, 1, 86400}},
-                    {"hire_every_s", {&t.hire_every_s, nullptr, 0.2, 600}},
+                    {"hire_every_s", {&t.rent_every_s, nullptr, 0.2, 600}},
                     {"refusal_s", {&t.refusal_s, nullptr, 1, 3600}},
                     {"boot_patience", {&t.boot_patience, nullptr, 1, 100}},
 
--- a/src/core/cancellations.h
+++ b/src/core/cancellations.h
@@ -25,37 +25,37 @@
   }
   uint64_t read_to() const { return read_to_; }
   // Whoever held the leader key when the job's row was written, or later, has that row.
-  void acknowledge(const std::string& job, uint64_t stamp) {
-    if (stamp <= read_to_) return;
+  void acknowledge(const std::string& job, uint64_t version) {
+    if (version <= read_to_) return;
     uint64_t& known = acknowledged_[job];
-    known = std::max(known, stamp);
+    known = std::max(known, version);
   }
-  // Whether the row of a cancelled job, which bears that stamp, may be told.
-  bool has(const std::string& job, uint64_t stamp) const {
-    if (stamp <= read_to_) return true;
+  // Whether the row of a cancelled job, which bears that version, may be told.
+  bool has(const std::string& job, uint64_t version) const {
+    if (version <= read_to_) return true;
     auto it = acknowledged_.find(job);
-    return it != acknowledged_.end() && it->second >= stamp;
+    return it != acknowledged_.end() && it->second >= version;
   }
 
  private:
   uint64_t read_to_ = 0;
-  std::unordered_map<std::string, uint64_t> acknowledged_;  // by job: stamp of its row
+  std::unordered_map<std::string, uint64_t> acknowledged_;  // by job: version of its row
 };
 
 // A leader's proof that no user was told of a cancellation before some moment that it does not know
 // of. The ledger gives it; so does the lease, since nobody says "aborted" past the holder of the
 // leader key. In an outage the siblings give it, if all of them do: one that knows no token above
 // ours, and has not been restarted since an earlier proof, has told nobody without us.
-class CancellationHorizon {
+class CancellationStaleness {
  public:
-  explicit CancellationHorizon(std::vector<std::string> siblings = {}, double now = -1e9)
+  explicit CancellationStaleness(std::vector<std::string> siblings = {}, double now = -1e9)
       : siblings_(std::move(siblings)), proven_(now) {}
 
   // The proof of a deployment's only controller, which is never out of date: nobody else confirms
   // cancellations to users, and what its own predecessors confirmed was durable before that, so it
   // was loaded with the ledger.
-  static CancellationHorizon of_only_controller() {
-    return CancellationHorizon({}, std::numeric_limits<double>::infinity());
+  static CancellationStaleness of_only_controller() {
+    return CancellationStaleness({}, std::numeric_limits<double>::infinity());
   }
 
   // The ledger was read, or our lease kept, by a request that was sent then.
@@ -97,10 +97,10 @@
   double proven_;
 };
 
-// For how long past its horizon a leader may keep workers' leases alive: the tasks of a job
+// For how long past its staleness bound a leader may keep workers' leases alive: the tasks of a job
 // cancelled behind its back are gone with their lease, within cancel_s. Steady clocks drift by
 // 0.05%; a second is for our own delays.
-inline double horizon_limit(double cancel_s, double lease_s) {
+inline double staleness_limit(double cancel_s, double lease_s) {
   constexpr double kDrift = 1.001, kDelay = 1, kLeast = 2;
   return std::max(kLeast, cancel_s / kDrift - lease_s * kDrift - kDelay);
 }
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -108,7 +108,7 @@
     machines_[i]->index = i;
     Machine& m = *machines_[i];
     m.name = name;
-    m.hired_at = m.last_report = now;
+    m.rented_at = m.last_report = now;
     rented_list_.mark_changed(m.index);
   }
   return *machines_[i];
@@ -127,12 +127,12 @@
   if (row.row.spec) job.spec = *row.row.spec;
   job.spec.id = id;
   job.spec.tasks = row.row.tasks;
-  job.stamp = row.stamp;
+  job.version = row.version;
   job.at_s = row.row.at_s;
   job.seen_at = now;
   if (day_offset_) job.seen_at = std::min(now, job.at_s - *day_offset_);
   job.per = std::max(1u, row.row.per);
-  job.lot = lot_names_.intern(job.spec.lot);
+  job.job_class = job_class_names_.intern(job.spec.job_class);
   job.team = team_names_.intern(job.spec.team);
   if (team_used_.size() < team_names_.size()) team_used_.resize(team_names_.size());
   job.image = image_names_.intern(job.spec.image);
@@ -145,13 +145,13 @@
   double boot = 1e9;
   for (const TypeInfo& t : types_) boot = std::min(boot, t.boot_s);
   for (const Objective& o : settings_.objectives)
-    if (o.start && o.lot == job.spec.lot) {
+    if (o.start && o.job_class == job.spec.job_class) {
       job.start_within.push_back(o.within_s);
       // A promise that no machine rented for it could keep; a longer one is kept by the order
       // alone.
-      job.prompt = job.prompt || o.within_s < boot;
+      job.has_start_promise = job.has_start_promise || o.within_s < boot;
     }
-  if (job.prompt) prompt_images_.insert(job.image);
+  if (job.has_start_promise) start_promise_images_.insert(job.image);
   std::sort(job.start_within.begin(), job.start_within.end());
   job.pages.assign((job.tasks() + job.per - 1) / job.per, kNone);
   for (const auto& [n, c] : row.chunks) {
@@ -165,7 +165,7 @@
     job.pages[n] = c.page;
     if (c.page >= pages_.size()) pages_.resize(c.page + 1);
     pages_[c.page].members.insert({i, n});
-    pages_[c.page].prompt = job.prompt;
+    pages_[c.page].has_start_promise = job.has_start_promise;
     pages_[c.page].reserved += job.chunk_bytes(n);
     job.top = std::max(job.top, c.chunk.top);
     for (const auto& [a, b] : c.chunk.done.ranges())
@@ -215,11 +215,11 @@
   load_fleet(mirror, now);
   for (const auto& [n, page] : mirror.pages()) {
     if (n >= pages_.size()) pages_.resize(n + 1);
-    pages_[n].stamp = page.stamp;
+    pages_[n].version = page.version;
   }
   size_t live = 0;
   for (const auto& [id, row] : mirror.jobs()) {
-    if (row.stamp == 0) continue;
+    if (row.version == 0) continue;
     // What pages still say of a job that is done serves nobody; of a cancelled one, its tasks may
     // still be on machines.
     if (row.row.standing == ledger::Standing::done) continue;
@@ -245,13 +245,13 @@
   if (!have) {
     if (row.row.standing == ledger::Standing::open) {
       add_job(row, id, now);
-      eager_ = true;
-      spdlog::debug("job {}: {} tasks of {}", id, row.row.tasks, row.row.spec->lot);
+      wants_round_ = true;
+      spdlog::debug("job {}: {} tasks of {}", id, row.row.tasks, row.row.spec->job_class);
     }
     return;
   }
   Job& job = *have;
-  if (row.stamp <= job.stamp) return;
+  if (row.version <= job.version) return;
   job.stale_since = -1;
   if (row.row.standing == ledger::Standing::aborted) {
     abort_job(job, row, now);
@@ -264,7 +264,7 @@
 void Core::abort_job(Job& job, const MirrorJob& row, double now) {
   if (job.over()) return;
   if (!set_state(job, JobState::aborted)) return;
-  job.stamp = row.stamp;
+  job.version = row.version;
   // Not since we heard of it: cancel_s does not begin anew with each leader.
   job.aborted_at = now;
   if (day_offset_ && row.row.at_s > 0) job.aborted_at = std::min(now, row.row.at_s - *day_offset_);
@@ -279,7 +279,7 @@
 
 void Core::drop_if_over(Index id) {
   Job* job = find(id);
-  if (!job || !job->over() || job->flights > 0) return;
+  if (!job || !job->over() || job->in_flight_transactions > 0) return;
   // An aborted job's ended attempts need no transaction: its row already says what counts.
   for (auto a = job->attempts.begin(); a != job->attempts.end();) {
     const uint32_t task = a->first;
@@ -315,7 +315,7 @@
                   a.number, grace);
   a.stop = true;
   a.grace_s = grace;
-  direct_.insert(a.machine);
+  direct_command_due_.insert(a.machine);
 }
 
 // A gang saves only when all its tasks are told to within gang_peer_s, so the orders for all go out
@@ -328,16 +328,16 @@
 }
 
 // Promised starts have pages of their own, so that one write makes many of them durable.
-Index Core::page_for(size_t bytes, bool prompt) {
+Index Core::page_for(size_t bytes, bool has_start_promise) {
   const size_t room = ledger::page_room(settings_.value_bytes);
   for (Index i = 0; i < pages_.size(); ++i)
-    if ((pages_[i].prompt == prompt || pages_[i].members.empty()) &&
+    if ((pages_[i].has_start_promise == has_start_promise || pages_[i].members.empty()) &&
         pages_[i].reserved + bytes <= room) {
-      pages_[i].prompt = prompt;
+      pages_[i].has_start_promise = has_start_promise;
       return i;
     }
   pages_.emplace_back();
-  pages_.back().prompt = prompt;
+  pages_.back().has_start_promise = has_start_promise;
   return static_cast<Index>(pages_.size() - 1);
 }
 
@@ -345,7 +345,7 @@
   const uint32_t n = job.chunk_of(task);
   if (job.pages[n] == kNone) {
     const size_t bytes = job.chunk_bytes(n);
-    const Index i = page_for(bytes, job.prompt);
+    const Index i = page_for(bytes, job.has_start_promise);
     job.pages[n] = i;
     pages_[i].reserved += bytes;
     pages_[i].members.insert({job.id, n});
@@ -463,11 +463,11 @@
 std::optional<PendingTransaction> Core::page_transaction(Index i, double now) {
   Page& page = pages_[i];
   const uint64_t id = ++next_txn_;
-  Flight f;
+  InFlightTransaction f;
   f.page = i;
   ledger::Page out;
   out.mark = f.txn.mark = mark_of(id);
-  f.txn.conditions = {{ledger::kLeaderKey, token_}, {ledger::page_key(i), page.stamp}};
+  f.txn.conditions = {{ledger::kLeaderKey, token_}, {ledger::page_key(i), page.version}};
   const size_t most_conditions = 4 * settings_.txn_ops;
   const size_t room = ledger::page_room(settings_.value_bytes);
   size_t size = 0;
@@ -482,7 +482,7 @@
   // What is durable already has its place first; new starts follow while there is room.
   for (const auto& [j, n] : page.members) {
     Job& job = *jobs_[j];
-    if (job.state == JobState::open && job.flights == 0) void_proposals(job, false);
+    if (job.state == JobState::open && job.in_flight_transactions == 0) void_proposals(job, false);
     ledger::PageEntry e;
     e.job = job.spec.id;
     e.n = n;
@@ -518,11 +518,11 @@
       left_out = true;
       continue;
     }
-    // Invariant 1: the leader key and the job's version guard every start. The page's own stamp
+    // Invariant 1: the leader key and the job's version guard every start. The page's own version
     // makes a repeat or a late copy of this transaction harmless: exactly one copy can apply.
     if (fresh) {
       named.insert(s.job->id);
-      f.txn.conditions.push_back({ledger::job_key(s.job->spec.id), s.job->stamp});
+      f.txn.conditions.push_back({ledger::job_key(s.job->spec.id), s.job->version});
     }
     size += ledger::encoded_size(live);
     out.entries[s.entry].chunk.live.push_back(live);
@@ -530,28 +530,29 @@
   }
   for (const auto& e : f.ended) named.insert(e.first);
   f.jobs.assign(named.begin(), named.end());
-  for (Index j : f.jobs) ++jobs_[j]->flights;
+  for (Index j : f.jobs) ++jobs_[j]->in_flight_transactions;
   f.txn.changes = {{ledger::page_key(i), false, ledger::encode(out), 0}};
   page.in_flight = true;
   page.dirty_since = left_out ? now : -1;
   page.waits = left_out ? Wait::start : Wait::nobody;
   if (left_out) page.retry_at = now + 0.1;
   PendingTransaction p{id, f.txn, false};
-  flights_[id] = std::move(f);
+  in_flight_transactions_[id] = std::move(f);
   return p;
 }
 
 // As many as a transaction takes: each job's final state is a row of its own, kept for ever.
 std::optional<PendingTransaction> Core::closing_transaction(double now, size_t room) {
-  Flight f;
-  f.kind = Flight::Kind::closing;
+  InFlightTransaction f;
+  f.kind = InFlightTransaction::Kind::closing;
   uint64_t id = 0;
   for (Index i : closing_) {
     if (f.jobs.size() >=
         std::min({settings_.txn_ops, kMostClosings, std::max(kLeastClosings, room)}))
       break;
     Job& job = *jobs_[i];
-    if (job.state != JobState::open || job.stale() || job.retry_at > now || job.flights > 0)
+    if (job.state != JobState::open || job.stale() || job.retry_at > now ||
+        job.in_flight_transactions > 0)
       continue;
     if (f.jobs.empty()) {
       id = ++next_txn_;
@@ -563,15 +564,15 @@
     row.tasks = job.tasks();
     row.per = job.per;
     row.mark = f.txn.mark;
-    f.txn.conditions.push_back({ledger::job_key(job.spec.id), job.stamp});
+    f.txn.conditions.push_back({ledger::job_key(job.spec.id), job.version});
     f.txn.changes.push_back({ledger::job_key(job.spec.id), false, ledger::encode(row), 0});
     f.jobs.push_back(i);
-    ++job.flights;
+    ++job.in_flight_transactions;
     set_state(job, JobState::closing);
   }
   if (f.jobs.empty()) return std::nullopt;
   PendingTransaction p{id, f.txn, false};
-  flights_[id] = std::move(f);
+  in_flight_transactions_[id] = std::move(f);
   return p;
 }
 
@@ -579,7 +580,7 @@
   if (lost_) return std::nullopt;
   // An unanswered transaction goes out again, word for word, before anything else is decided
   // about its rows: whatever copy is executed, the outcome is the same.
-  for (auto& [id, f] : flights_)
+  for (auto& [id, f] : in_flight_transactions_)
     if (f.repeat_at >= 0 && f.repeat_at <= now) {
       f.repeat_at = -1;
       f.sent_again = true;
@@ -614,8 +615,8 @@
 }
 
 void Core::on_result(uint64_t id, const ledger::Result& r, double now) {
-  auto it = flights_.find(id);
-  if (it == flights_.end()) return;
+  auto it = in_flight_transactions_.find(id);
+  if (it == in_flight_transactions_.end()) return;
   if (r.outcome == Outcome::unknown) {
     it->second.repeat_at = now + 0.3;
     return;
@@ -625,11 +626,11 @@
     it->second.repeat_at = now + 0.5;
     return;
   }
-  const Flight f = std::move(it->second);
-  flights_.erase(it);
+  const InFlightTransaction f = std::move(it->second);
+  in_flight_transactions_.erase(it);
   const bool applied = r.outcome == Outcome::applied;
   for (Index j : f.jobs)
-    if (Job* job = find(j)) --job->flights;
+    if (Job* job = find(j)) --job->in_flight_transactions;
   if (r.outcome == Outcome::conflict)
     for (const std::string& key : r.failed) {
       if (key == ledger::kLeaderKey) return fail("the leader key is not ours any more");
@@ -642,17 +643,17 @@
       if (!job->over() && job->stale_since < 0) job->stale_since = now;
     }
   switch (f.kind) {
-    case Flight::Kind::page:
+    case InFlightTransaction::Kind::page:
       settle_page(f, r, now);
       break;
-    case Flight::Kind::closing:
+    case InFlightTransaction::Kind::closing:
       if (!applied)
         for (Index j : f.jobs)
           if (Job* job = find(j))
             job->retry_at = now + (r.outcome == Outcome::refused ? 0.25 : 0.02);
       settle_closing(f, r);
       break;
-    case Flight::Kind::fleet:
+    case InFlightTransaction::Kind::fleet:
       rented_list_.on_result(f.txn, r);
       break;
   }
@@ -665,7 +666,7 @@
   }
 }
 
-void Core::settle_page(const Flight& f, const ledger::Result& r, double now) {
+void Core::settle_page(const InFlightTransaction& f, const ledger::Result& r, double now) {
   Page& page = pages_[f.page];
   page.in_flight = false;
   if (r.outcome != Outcome::applied) {
@@ -678,7 +679,7 @@
       if (Job* job = find(j); job && (job->stale() || job->over())) void_proposals(*job, true);
     return;
   }
-  page.stamp = r.revision;
+  page.version = r.revision;
   for (const auto& [j, t] : f.started) {
     Job* job = find(j);
     if (!job) continue;
@@ -686,7 +687,7 @@
     if (a == job->attempts.end() || a->second.state != AttemptState::proposed) continue;
     if (!set_state(*job, a->second, AttemptState::placed)) continue;
     --job->proposed;
-    direct_.insert(a->second.machine);
+    direct_command_due_.insert(a->second.machine);
     const MachineState at = machines_[a->second.machine]->state;
     if (at == MachineState::gone)
       end_attempt(*job, t, Cause::none, now, "its machine went while it was committed");
@@ -694,7 +695,7 @@
       stop_attempt(*job, a->second, 0);
     // The last of a gang to be committed makes all of it ready to be ordered.
     if (job->gang() && job->proposed == 0)
-      for (auto& [other, b] : job->attempts) direct_.insert(b.machine);
+      for (auto& [other, b] : job->attempts) direct_command_due_.insert(b.machine);
   }
   for (const auto& [j, t] : f.ended) {
     Job* job = find(j);
@@ -702,12 +703,12 @@
     auto a = job->attempts.find(t);
     if (a != job->attempts.end() && a->second.state == AttemptState::ended) {
       release(*job, t);
-      eager_ = true;
+      wants_round_ = true;
     }
   }
 }
 
-void Core::settle_closing(const Flight& f, const ledger::Result& r) {
+void Core::settle_closing(const InFlightTransaction& f, const ledger::Result& r) {
   for (Index j : f.jobs) {
     Job* job = find(j);
     if (!job) continue;
@@ -715,7 +716,7 @@
       if (job->state == JobState::closing) set_state(*job, JobState::open);
       continue;
     }
-    job->stamp = r.revision;
+    job->version = r.revision;
     if (!set_state(*job, JobState::done)) continue;
     while (!job->attempts.empty()) release(*job, job->attempts.begin()->first);
     spdlog::debug("job {} is done", job->spec.id);
@@ -723,7 +724,7 @@
 }
 
 size_t Core::unsent() const {
-  size_t n = closing_.size() + flights_.size();
+  size_t n = closing_.size() + in_flight_transactions_.size();
   for (const Page& p : pages_) n += p.dirty_since >= 0;
   return n;
 }
@@ -737,7 +738,7 @@
 
 void Core::round(double now) {
   if (lost_) return;
-  eager_ = false;
+  wants_round_ = false;
   ++work_.rounds;
   watch_machines(now);
   if (now >= next_sample_) {
@@ -767,7 +768,7 @@
     if (m->state == MachineState::ready) ++s.ready;
     if (m->state == MachineState::booting) ++s.booting;
     if (m->state == MachineState::draining) ++s.draining;
-    if (m->heard && now - m->last_report > silence_limit()) ++s.silent;
+    if (m->registered && now - m->last_report > silence_limit()) ++s.silent;
   }
   for (const TypeState& t : type_state_) s.target += t.target;
   return s;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -1,6 +1,6 @@
 #pragma once
 // The leader's mind: pure and single-threaded. Events go in (time, reports, job rows, transaction
-// results, machine lists), effects come out (transactions, hires, returns, orders). It has no
+// results, machine lists), effects come out (transactions, rentals, returns, orders). It has no
 // sockets, clocks or randomness of its own, so scenarios drive it in simulated time.
 //
 // core.cpp       life of jobs and transactions, taking over from the ledger
@@ -53,10 +53,10 @@
 struct Job {
   Index id = kNone;
   JobSpec spec;
-  Index lot = kNone, team = kNone, image = kNone, zone = kNone;
+  Index job_class = kNone, team = kNone, image = kNone, zone = kNone;
   std::vector<bool> types;  // allowed, by type index; empty: any
   JobState state = JobState::open;
-  uint64_t stamp = 0;
+  uint64_t version = 0;
   double at_s = 0;
   double seen_at = 0;  // on our clock: when it was accepted, as far as times of day can tell
   uint32_t per = 1;
@@ -68,15 +68,15 @@
   uint64_t top = 0;       // highest attempt number used
   // The page that each chunk of tasks lies in; kNone: never written. It stays for the job's life.
   std::vector<Index> pages;
-  uint32_t flights = 0;              // transactions under way that name its row or its attempts
-  bool prompt = false;               // its class is promised a prompt start
-  double stale_since = -1;           // its row changed under us: the watch has to bring it
-  double share = 0;                  // of the smallest machine that a task takes
-  std::vector<double> start_within;  // what its class is promised of starting
-  bool guaranteed = false;           // within its team's guarantee, as of this round
-  double urgency = 0;                // as of this round, smallest first
-  double last_start = -1;            // a task of it was last placed, or its turn was over
-  uint32_t turn_left = 0;            // a starved array's: tasks that it may still begin
+  uint32_t in_flight_transactions = 0;  // transactions under way that name its row or its attempts
+  bool has_start_promise = false;       // its class is promised a prompt start
+  double stale_since = -1;              // its row changed under us: the watch has to bring it
+  double share = 0;                     // of the smallest machine that a task takes
+  std::vector<double> start_within;     // what its class is promised of starting
+  bool guaranteed = false;              // within its team's guarantee, as of this round
+  double urgency = 0;                   // as of this round, smallest first
+  double last_start = -1;               // a task of it was last placed, or its turn was over
+  uint32_t turn_left = 0;               // a starved array's: tasks that it may still begin
   double aborted_at = -1;
   double not_before = 0;     // back-off after errors of its own
   double retry_at = 0;       // after a refused transaction
@@ -98,19 +98,19 @@
 
 // A row of the ledger that holds chunks of several jobs; at most one write of it is under way.
 struct Page {
-  uint64_t stamp = 0;
+  uint64_t version = 0;
   bool in_flight = false;
   size_t reserved = 0;                           // bytes set aside for its chunks
   std::set<std::pair<Index, uint32_t>> members;  // (job, chunk)
   double dirty_since = -1;                       // negative: nothing to write
   Wait waits = Wait::nobody;                     // for what is to be written
-  bool prompt = false;  // holds chunks of classes that are promised a prompt start, and only these
+  bool has_start_promise = false;  // holds only chunks of classes with a start promise
   double retry_at = 0;
 };
 
 // After so many reports that took up nothing of what they were answered a machine is taken to be
 // out of reach, however regularly it reports.
-inline constexpr int kUnheeded = 2;
+inline constexpr int kUnreachableAfterReports = 2;
 
 struct Machine {
   Index index = kNone;
@@ -118,33 +118,33 @@
   Index type = kNone, zone = kNone;
   bool spot = false;
   MachineState state = MachineState::booting;
-  double hired_at = 0;
+  double rented_at = 0;
   double last_report = 0;
   double draining_since = 0;
-  double recall_at = -1;  // when the cloud takes it; negative: no notice
+  double reclaim_at = -1;  // when the cloud takes it; negative: no notice
   uint64_t session = 0, seq = 0;
-  bool heard = false;   // a report of it carried this leader's token
-  bool was_up = false;  // the ledger has attempts on it, or it reported
-  bool listed = false;  // seen in the cloud's list, or unlisted since `unlisted_at`
+  bool registered = false;  // a report of it carried this leader's token
+  bool was_up = false;      // the ledger has attempts on it, or it reported
+  bool listed = false;      // seen in the cloud's list, or unlisted since `unlisted_at`
   double unlisted_at = -1;
-  bool cordoned = false;  // never used again
-  bool strays = false;    // holds tasks the ledger does not know; nothing new until gone
-  // Attempts for which a direct order stays unanswered: a late copy may be executed as long as
+  bool cordoned = false;           // never used again
+  bool has_unknown_tasks = false;  // holds tasks the ledger does not know; nothing new until gone
+  // Attempts for which a direct command stays unanswered: a late copy may be executed as long as
   // token and session hold, and would start a cleared attempt anew, so these are never cleared.
   std::set<std::tuple<std::string, uint32_t, uint64_t>> unanswered;
   // What the answer to its last report ordered; the next report shows whether it arrived.
-  std::vector<std::tuple<Verb, std::string, uint32_t, uint64_t>> owed;
-  int unheeded = 0;  // reports in a row that took up nothing of it
-  double unheeded_since = -1;
-  double mute_since = -1;  // reports with an older token than ours since, though answered
-  int mute = 0;
-  double mute_at = 0;  // the last that was counted
-  uint64_t mute_session = 0, mute_seq = 0;
-  int introductions = 0;  // direct calls that told it our token, unasked
-  double introduce_at = 0;
-  bool unreachable() const { return unheeded >= kUnheeded; }
+  std::vector<std::tuple<Verb, std::string, uint32_t, uint64_t>> unacknowledged_commands;
+  int reports_without_acknowledgement = 0;  // reports in a row that took up nothing of it
+  double unacknowledged_since = -1;
+  double older_token_since = -1;  // reports with an older token than ours since, though answered
+  int reports_with_older_token = 0;
+  double older_token_at = 0;  // the last that was counted
+  uint64_t older_token_session = 0, older_token_seq = 0;
+  int token_announcements = 0;  // direct calls that told it our token, unasked
+  double announce_token_at = 0;
+  bool unreachable() const { return reports_without_acknowledgement >= kUnreachableAfterReports; }
   bool direct_in_flight = false;
-  double direct_after = 0;  // after a direct order failed, reports carry the orders for a while
+  double direct_after = 0;  // after a direct command failed, reports carry the orders for a while
   bool returning = false;   // a return call is under way
   double return_after = 0;
   Amounts used;                                       // by attempts that are not ended
@@ -155,7 +155,8 @@
   Index reserved_for = kNone;  // a job that others were stopped for
   double reserved_until = 0;
   bool usable() const {
-    return state == MachineState::ready && heard && !cordoned && !strays && !unreachable();
+    return state == MachineState::ready && registered && !cordoned && !has_unknown_tasks &&
+           !unreachable();
   }
 };
 
@@ -165,7 +166,7 @@
 };
 
 // Orders (none: only our token) sent straight to a worker, without waiting for its next report.
-struct Direct {
+struct DirectCommand {
   Index machine = kNone;
   std::string addr;
   uint64_t session = 0;
@@ -178,7 +179,7 @@
   bool repeat = false;  // an earlier copy may still be executed: it goes out unchanged
 };
 
-struct Hire {
+struct RentalRequest {
   std::string name, type, zone;
   bool spot = false;
   int count = 0;
@@ -204,12 +205,13 @@
 
   ReportReply on_report(const Report& report, double now);
 
-  // Direct orders: starts that are durable, and stops, for one machine at a time.
-  std::optional<Direct> next_direct(double now);
+  // Direct commands: starts that are durable, and stops, for one machine at a time.
+  std::optional<DirectCommand> next_direct_command(double now);
   // answered: the worker executed (or refused) them and its report came back.
-  void on_direct(const Direct& d, bool answered, const std::optional<Report>& report, double now);
+  void on_direct_command_result(const DirectCommand& d, bool answered,
+                                const std::optional<Report>& report, double now);
   // Something happened that a round should look at soon.
-  bool eager() const { return eager_; }
+  bool wants_round() const { return wants_round_; }
 
   // This process stood still for so long: the machines' silence meanwhile was its own.
   void slept(double s, double now);
@@ -229,9 +231,9 @@
   size_t unsent() const;  // rows that wait to be written
   void on_result(uint64_t id, const ledger::Result& result, double now);
 
-  std::optional<Hire> next_hire(double now);
-  void on_hire(const Hire& hire, CloudOutcome outcome, const std::vector<std::string>& machines,
-               double now);
+  std::optional<RentalRequest> next_rental_request(double now);
+  void on_rental_result(const RentalRequest& request, CloudOutcome outcome,
+                        const std::vector<std::string>& machines, double now);
   // `cancelled_only`: those that hold work of cancelled jobs.
   std::vector<std::string> next_return(double now, bool cancelled_only = false);
   void on_return(const std::vector<std::string>& names, CloudOutcome outcome, double now);
@@ -242,7 +244,7 @@
   // A condition on the leader key failed, or the ledger contradicts us: stop leading.
   bool lost() const { return lost_; }
   // Most machines that reported to us have fallen silent: the silence is likely ours.
-  bool deaf(double now) const;
+  bool receives_no_reports(double now) const;
 
   size_t backlog() const;  // waiting tasks and unsent transactions, for the round's width
   struct Summary {
@@ -259,7 +261,7 @@
   const Job* find_job(const std::string& id) const;
 
  private:
-  struct Flight;
+  struct InFlightTransaction;
 
   // -- state machines (the only places that change a state)
   bool set_state(Job& job, JobState to);
@@ -282,29 +284,29 @@
   void stop_attempt(Job& job, Attempt& a, double grace);
   void stop_with_gang(Job& job, Attempt& a, double grace);
   void mark_dirty(Job& job, uint32_t task, Wait waits, double now);
-  Index page_for(size_t bytes, bool prompt);
+  Index page_for(size_t bytes, bool has_start_promise);
   bool proposal_stands(const Attempt& a) const;
   void void_proposals(Job& job, bool all);
   std::optional<PendingTransaction> page_transaction(Index page, double now);
   std::optional<PendingTransaction> closing_transaction(double now, size_t room);
   std::string mark_of(uint64_t txn) const;
   void fail(const std::string& why);
-  void settle_page(const Flight& f, const ledger::Result& r, double now);
-  void settle_closing(const Flight& f, const ledger::Result& r);
+  void settle_page(const InFlightTransaction& f, const ledger::Result& r, double now);
+  void settle_closing(const InFlightTransaction& f, const ledger::Result& r);
 
   // -- reports.cpp
-  void learn(Machine& m, const Report& r, double now);
+  void register_report(Machine& m, const Report& r, double now);
   void take_task(Machine& m, Job& job, Attempt& a, const TaskReport& t, double now);
   bool faulty(const Job& job) const;
   void judge_error(Machine& m, Job& job, double now);
   using Listed = std::vector<std::pair<Index, uint32_t>>;
   void take_list(Machine& m, const Report& r, std::vector<Order>* stops, std::vector<Order>* clears,
                  Listed& listed, double now);
-  void heed(Machine& m, const Report& r);
-  std::optional<Direct> introduction(double now);
+  void note_acknowledged_commands(Machine& m, const Report& r);
+  std::optional<DirectCommand> token_announcement(double now);
   void orders_for(Machine& m, const Report& r, ReportReply& reply, double now);
   bool may_order(const Job& job, const Attempt& a) const;
-  void recall(Machine& m, double notice_s, double now);
+  void on_reclaim_notice(Machine& m, double notice_s, double now);
   void touch_image(Machine& m, const Job& job, double now);
 
   // -- placement.cpp
@@ -327,7 +329,7 @@
                             bool warm_only = false);
   bool warm(const Job& job, const Machine& m) const;
   void claim(const Job& job, const std::vector<Place>& free, double now);
-  void attend(Job& job, double now, int& budget, bool preempt);
+  void place_job(Job& job, double now, int& budget, bool preempt);
   std::vector<Eviction> evictions(const Job& job, double now);
   void gather_open(double now);
   Amounts free_on(const Machine& m) const;
@@ -375,20 +377,20 @@
   MachineCounts count_machines() const;
   double machines_for(Index type, const Amounts& demand) const;
   double floor_of(Index type, const TypeState::Bound& b, bool ordinary) const;
-  bool recall_draining(Index type, Index zone, bool ordinary);
-  bool hire(Index type, Index zone, bool spot, double count, double now);
+  bool reuse_draining(Index type, Index zone, bool ordinary);
+  bool rent(Index type, Index zone, bool spot, double count, double now);
   void sample_demand(double now);
   void plan_fleet(double now);
   void plan_type(Index type, double now);
   void watch_machines(double now);
   void drain(Machine& m, double now, const char* why);
-  void condemn(Machine& m, const char* why);
+  void terminate(Machine& m, const char* why);
   bool counts(const Machine& m, double now) const;
   Index home(const Job& job) const;
   double silence_limit() const;
   double patience() const;
   double waits_for(const Machine& m) const;
-  double unheard_limit(const Machine& m) const;
+  double registration_limit(const Machine& m) const;
   bool many_silent(double now) const;
   bool holds_cancelled(const Machine& m) const;
   bool holds_overdue(const Machine& m, double now) const;
@@ -400,24 +402,25 @@
   std::vector<TypeInfo> types_;
   uint64_t token_;
   double started_;
-  double introduce_at_ = 0;
+  double announce_token_at_ = 0;
   bool lost_ = false;
-  bool eager_ = false;
+  bool wants_round_ = false;
   bool may_start_ = true;
   bool many_silent_ = false;
   double many_silent_until_ = -1;
   std::optional<double> day_offset_;
-  std::set<Index> direct_;  // machines with orders worth sending at once
+  std::set<Index> direct_command_due_;  // machines with orders worth sending at once
 
-  Names job_names_, machine_names_, zone_names_, team_names_, image_names_, lot_names_, type_names_;
+  Names job_names_, machine_names_, zone_names_, team_names_, image_names_, job_class_names_,
+      type_names_;
   std::vector<std::unique_ptr<Job>> jobs_;  // by job index; empty: over, or unknown
   std::vector<bool> finished_;  // by job index: over and forgotten, never taken up again
   size_t open_jobs_ = 0;
   // By machine index. Machines that are gone stay as tombstones: late reports and lagging lists
   // still name them, and must not bring them back.
   std::vector<std::unique_ptr<Machine>> machines_;
-  std::set<Index> prompt_images_;  // of classes that are promised a prompt start
-  std::vector<Index> order_;       // jobs with waiting tasks, most urgent first
+  std::set<Index> start_promise_images_;  // of classes that are promised a prompt start
+  std::vector<Index> order_;              // jobs with waiting tasks, most urgent first
 
   // Of one round.
   struct Full {  // no room for so many tasks of that size
@@ -446,17 +449,17 @@
 
   std::vector<Amounts> team_used_;  // by team index
 
-  uint64_t next_txn_ = 0, next_hire_ = 0;
-  struct Flight {
+  uint64_t next_txn_ = 0, next_rental_number_ = 0;
+  struct InFlightTransaction {
     enum class Kind : uint8_t { page, closing, fleet } kind = Kind::page;
     Index page = kNone;
     std::vector<std::pair<Index, uint32_t>> started, ended;  // (job, task)
-    std::vector<Index> jobs;                                 // each counted in Job::flights
+    std::vector<Index> jobs;  // each counted in Job::in_flight_transactions
     ledger::Transaction txn;
     double repeat_at = -1;  // outcome unknown: goes out again, unchanged
     bool sent_again = false;
   };
-  std::map<uint64_t, Flight> flights_;
+  std::map<uint64_t, InFlightTransaction> in_flight_transactions_;
   std::vector<Page> pages_;
   std::set<Index> closing_;    // jobs all of whose tasks are done
   double closing_since_ = -1;  // the oldest of them
@@ -464,9 +467,9 @@
   std::vector<TypeState> type_state_;
   BootStatistics unknown_type_boots_;  // for machines whose type is not known yet
   double next_sample_ = 0;
-  double hire_at_ = 0, hire_retry_at_ = 0;
-  std::deque<Hire> hires_;  // wanted and unanswered, oldest first
-  bool hire_in_flight_ = false;
+  double rent_at_ = 0, rent_retry_at_ = 0;
+  std::deque<RentalRequest> rental_requests_;  // wanted and unanswered, oldest first
+  bool rental_in_flight_ = false;
   RentedList rented_list_;
 };
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -23,11 +23,11 @@
 // machine goes, for the cloud's answer is proof.
 constexpr double kCancelPatience = 0.5;
 // Reports that show that none of our answers arrives, for this long: returned.
-constexpr double kUnheededFor = 8;
+constexpr double kUnreachableFor = 8;
 // The share of machines that has to be silent, beyond two, for a common cause to be likely: single
 // ones fail by a few in an hour.
 constexpr double kManyShare = 0.05;
-// Of machines that heed nothing, for the cause to be our own slowness.
+// Of machines that acknowledge no command, for the cause to be our own slowness.
 constexpr double kOursShare = 0.15;
 // What replacing a machine takes, in boot times: until it is up and has fetched its first image.
 constexpr double kReplace = 1.25;
@@ -67,23 +67,23 @@
 // Whether tasks that were cancelled a good while ago may still be there. A machine that has not
 // come to a new leader yet is given time to: what the ledger says of it may be long past.
 bool Core::holds_overdue(const Machine& m, double now) const {
-  const bool unheard_long = now - started_ > kTakeoverGrace;
+  const bool unregistered_long = now - started_ > kTakeoverGrace;
   return std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) {
     const Job& job = *jobs_[t.first];
     if (job.state != JobState::aborted) return false;
     const double age = now - job.aborted_at;
     return age > kCancelPatience * settings_.cancel_s &&
-           (m.heard || (unheard_long && age < 2 * settings_.cancel_s));
+           (m.registered || (unregistered_long && age < 2 * settings_.cancel_s));
   });
 }
 
 void Core::watch_cancelled(double now) {
   for (const auto& m : machines_) {
-    if (m->state == MachineState::condemned || m->state == MachineState::gone) continue;
+    if (m->state == MachineState::terminating || m->state == MachineState::gone) continue;
     if (holds_overdue(*m, now))
-      condemn(*m, "holds tasks of a cancelled job");
+      terminate(*m, "holds tasks of a cancelled job");
     else if (m->unreachable() && holds_cancelled(*m))
-      condemn(*m, "holds tasks of a cancelled job and takes up nothing");
+      terminate(*m, "holds tasks of a cancelled job and takes up nothing");
   }
 }
 
@@ -93,7 +93,7 @@
 }
 
 // And how long one that a predecessor had up, until a new leader hears it.
-double Core::unheard_limit(const Machine& m) const {
+double Core::registration_limit(const Machine& m) const {
   return std::max(waits_for(m), silence_limit() + kTakeoverGrace);
 }
 
@@ -222,8 +222,8 @@
 
 // A machine that this leader rented has come up.
 void Core::record_boot(const Machine& m, double now) {
-  if (m.type == kNone || m.hired_at <= started_) return;
-  type_state_[m.type].boots.record(now, now - m.hired_at);
+  if (m.type == kNone || m.rented_at <= started_) return;
+  type_state_[m.type].boots.record(now, now - m.rented_at);
 }
 
 const BootStatistics& Core::boots_of(const Machine& m) const {
@@ -234,21 +234,21 @@
   std::vector<size_t> overdue(types_.size());
   for (const auto& m : machines_)
     if (m->state == MachineState::booting && !m->was_up && m->type != kNone &&
-        m->hired_at > started_ && now - m->hired_at > boots_of(*m).overdue_after())
+        m->rented_at > started_ && now - m->rented_at > boots_of(*m).overdue_after())
       ++overdue[m->type];
   for (Index t = 0; t < types_.size(); ++t) type_state_[t].boots.update(now, overdue[t]);
 }
 
 bool Core::counts(const Machine& m, double now) const {
-  if (m.cordoned || m.recall_at >= 0 || m.returning || m.unreachable()) return false;
+  if (m.cordoned || m.reclaim_at >= 0 || m.returning || m.unreachable()) return false;
   if (m.state == MachineState::booting) {
-    // Up under a predecessor and not heard yet: no late boot, however long ago it was rented. Taken
-    // for one, it had a new leader rent a second fleet (docs/incidents/inc-6144.md).
-    if (m.was_up) return now - m.last_report <= unheard_limit(m);
+    // Up under a predecessor and not registered yet: no late boot, however long ago it was rented.
+    // Taken for one, it had a new leader rent a second fleet (docs/incidents/inc-6144.md).
+    if (m.was_up) return now - m.last_report <= registration_limit(m);
     // Late ones are replaced, but not while nearly all are late: the cloud would be as slow with
     // those that took their place, and each would be rented twice.
     const BootStatistics& boots = boots_of(m);
-    return now - m.hired_at <= (boots.most_are_late() ? boots.lost_after() : boots.late_after());
+    return now - m.rented_at <= (boots.most_are_late() ? boots.lost_after() : boots.late_after());
   }
   if (m.state != MachineState::ready) return false;
   return now - m.last_report <= (many_silent_ ? patience() : silence_limit());
@@ -259,7 +259,7 @@
   if (set_state(m, MachineState::draining, why)) m.draining_since = now;
 }
 
-void Core::condemn(Machine& m, const char* why) { set_state(m, MachineState::condemned, why); }
+void Core::terminate(Machine& m, const char* why) { set_state(m, MachineState::terminating, why); }
 
 double Core::machines_for(Index type, const Amounts& demand) const {
   const Amounts size = types_[type].size.times(settings_.tuning.safe_fraction);
@@ -267,27 +267,27 @@
 }
 
 // A machine on its way out is the fastest machine to be had.
-bool Core::recall_draining(Index ti, Index zone, bool ordinary) {
+bool Core::reuse_draining(Index ti, Index zone, bool ordinary) {
   for (const auto& m : machines_)
     if (m->type == ti && m->zone == zone && m->state == MachineState::draining && !m->cordoned &&
-        m->recall_at < 0 && !(ordinary && m->spot))
+        m->reclaim_at < 0 && !(ordinary && m->spot))
       return set_state(*m, MachineState::ready, "needed again in its zone");
   return false;
 }
 
 // Asks for machines; false: that zone has lately had none of the kind.
-bool Core::hire(Index ti, Index zone, bool spot, double count, double now) {
+bool Core::rent(Index ti, Index zone, bool spot, double count, double now) {
   const auto& refused = type_state_[ti].refused_until;
   if (auto r = refused.find({zone, spot}); r != refused.end() && now < r->second) return false;
-  Hire h;
+  RentalRequest h;
   // Invariant 4: the token makes the name unique among leaders, the number within this one.
-  h.name = "h-" + std::to_string(token_) + "-" + std::to_string(++next_hire_);
+  h.name = "h-" + std::to_string(token_) + "-" + std::to_string(++next_rental_number_);
   h.type = types_[ti].name;
   h.zone = zone_names_.name(zone);
   h.spot = spot;
   h.count = static_cast<int>(std::clamp(count, 1.0, kMostHired));
-  hires_.push_back(h);
-  hire_at_ = now + settings_.tuning.hire_every_s;
+  rental_requests_.push_back(h);
+  rent_at_ = now + settings_.tuning.rent_every_s;
   return true;
 }
 
@@ -308,7 +308,7 @@
     ++per_zone[m.zone];
   }
   double asked = 0;
-  for (const Hire& h : hires_)
+  for (const RentalRequest& h : rental_requests_)
     if (h.type == type.name) {
       asked += h.count;
       if (!h.spot) ordinary += h.count;
@@ -320,12 +320,12 @@
   const double ordinary_need = machines_for(ti, s.ordinary);
   // And a second: jobs that can run in one zone alone are a floor for the machines there.
   for (const auto& [zone, b] : s.bound) {
-    if (asked > 0 || now < hire_at_) break;
+    if (asked > 0 || now < rent_at_) break;
     const double dear = floor_of(ti, b, true) - ordinary_in[zone];
     const double lack = std::max(dear, floor_of(ti, b, false) - per_zone[zone]);
     if (lack <= 0) continue;
-    if (recall_draining(ti, zone, dear > 0)) return;
-    if ((dear <= 0 && hire(ti, zone, true, lack, now)) || hire(ti, zone, false, lack, now)) return;
+    if (reuse_draining(ti, zone, dear > 0)) return;
+    if ((dear <= 0 && rent(ti, zone, true, lack, now)) || rent(ti, zone, false, lack, now)) return;
   }
   double gap = std::max(s.target - total, ordinary_need - ordinary);
   if (gap <= 0) {
@@ -341,12 +341,12 @@
   for (const auto& mp : machines_) {
     Machine& m = *mp;
     if (gap <= 0) return;
-    if (m.type != ti || m.state != MachineState::draining || m.cordoned || m.recall_at >= 0)
+    if (m.type != ti || m.state != MachineState::draining || m.cordoned || m.reclaim_at >= 0)
       continue;
     if (ordinary < ordinary_need && m.spot && total >= s.target) continue;
     if (set_state(m, MachineState::ready, "needed again")) --gap;
   }
-  if (gap <= 0 || asked > 0 || now < hire_at_) return;
+  if (gap <= 0 || asked > 0 || now < rent_at_) return;
   const bool spot_demand = s.demand.share_of(type.size) > s.ordinary.share_of(type.size) + 1e-9;
   auto pick_zone = [&](bool spot) {
     Index best = kNone;
@@ -372,7 +372,7 @@
   count = std::min(
       count,
       std::max(1.0, std::ceil(gap / static_cast<double>(std::max<size_t>(1, per_zone.size())))));
-  hire(ti, zone, spot, count, now);
+  rent(ti, zone, spot, count, now);
 }
 
 void Core::plan_fleet(double now) {
@@ -419,16 +419,18 @@
 // Many machines that fall silent together are cut off rather than dead: they come back, with
 // images and, within their lease, with their work, sooner than others could be booted.
 bool Core::many_silent(double now) const {
-  size_t heard = 0, missing = 0;
+  size_t registered = 0, missing = 0;
   for (const auto& m : machines_) {
     // Those of a predecessor that have not come yet count too.
-    if (!(m->heard || (m->was_up && m->state == MachineState::booting)) ||
-        m->state == MachineState::gone || m->state == MachineState::condemned || m->recall_at >= 0)
+    if (!(m->registered || (m->was_up && m->state == MachineState::booting)) ||
+        m->state == MachineState::gone || m->state == MachineState::terminating ||
+        m->reclaim_at >= 0)
       continue;
-    ++heard;
+    ++registered;
     if (now - m->last_report > 1.6 * settings_.report_s && m->unlisted_at < 0) ++missing;
   }
-  return missing >= 3 && static_cast<double>(missing) >= kManyShare * static_cast<double>(heard);
+  return missing >= 3 &&
+         static_cast<double>(missing) >= kManyShare * static_cast<double>(registered);
 }
 
 void Core::watch_machines(double now) {
@@ -436,60 +438,61 @@
   if (many_silent(now)) many_silent_until_ = now + kTakeoverGrace;
   many_silent_ = now < many_silent_until_;
   update_boots(now);
-  // Many machines that heed nothing at once are our own slowness.
-  size_t heard = 0, unheeding = 0;
+  // Many machines that acknowledge no command at once are our own slowness.
+  size_t registered = 0, unreachable_machines = 0;
   for (const auto& m : machines_)
-    if (m->heard && m->state != MachineState::gone) {
-      ++heard;
-      unheeding += m->unreachable();
+    if (m->registered && m->state != MachineState::gone) {
+      ++registered;
+      unreachable_machines += m->unreachable();
     }
-  const bool ours =
-      unheeding >= 5 && static_cast<double>(unheeding) >= kOursShare * static_cast<double>(heard);
+  const bool ours = unreachable_machines >= 5 && static_cast<double>(unreachable_machines) >=
+                                                     kOursShare * static_cast<double>(registered);
   for (const auto& mp : machines_) {
     Machine& m = *mp;
     const double silent = now - m.last_report;
     if (!m.unreachable())
-      m.unheeded_since = -1;
-    else if (m.unheeded_since < 0)
-      m.unheeded_since = now;
-    if (m.state != MachineState::condemned && m.state != MachineState::gone) {
-      if (m.unheeded_since >= 0 && !ours &&
-          (now - m.unheeded_since > kUnheededFor || holds_cancelled(m))) {
-        condemn(m, "takes up nothing of what it is answered");
+      m.unacknowledged_since = -1;
+    else if (m.unacknowledged_since < 0)
+      m.unacknowledged_since = now;
+    if (m.state != MachineState::terminating && m.state != MachineState::gone) {
+      if (m.unacknowledged_since >= 0 && !ours &&
+          (now - m.unacknowledged_since > kUnreachableFor || holds_cancelled(m))) {
+        terminate(m, "takes up nothing of what it is answered");
         continue;
       }
       if (holds_overdue(m, now)) {
-        condemn(m, "holds tasks of a cancelled job");
+        terminate(m, "holds tasks of a cancelled job");
         continue;
       }
     }
     switch (m.state) {
       case MachineState::booting: {
         // One that was up under a predecessor has work on it, and is waited for as such.
-        if (m.mute >= 3 && now - m.mute_since > kUnheededFor && (!m.was_up || holds_cancelled(m))) {
-          condemn(m, "takes up none of our answers");
+        if (m.reports_with_older_token >= 3 && now - m.older_token_since > kUnreachableFor &&
+            (!m.was_up || holds_cancelled(m))) {
+          terminate(m, "takes up none of our answers");
         } else if (m.was_up) {
           // The ledger has tasks on it, so it was up under a predecessor.
-          if (silent > unheard_limit(m)) condemn(m, "not heard since the takeover");
-        } else if (m.unlisted_at >= 0 && now - m.hired_at > 2 * settings_.list_lag_s + 5) {
-          condemn(m, "rented under a predecessor and not listed");
-        } else if (now - m.hired_at > boots_of(m).lost_after()) {
-          condemn(m, "never came up");
+          if (silent > registration_limit(m)) terminate(m, "not heard since the takeover");
+        } else if (m.unlisted_at >= 0 && now - m.rented_at > 2 * settings_.list_lag_s + 5) {
+          terminate(m, "rented under a predecessor and not listed");
+        } else if (now - m.rented_at > boots_of(m).lost_after()) {
+          terminate(m, "never came up");
         }
         break;
       }
       case MachineState::ready:
       case MachineState::draining:
-        if (m.recall_at >= 0 && now > m.recall_at + 1 && silent > 1.5 * settings_.report_s) {
-          condemn(m, "taken back");
+        if (m.reclaim_at >= 0 && now > m.reclaim_at + 1 && silent > 1.5 * settings_.report_s) {
+          terminate(m, "taken back");
         } else if (silent > waits_for(m)) {
           // Silence proves nothing; the cloud's answer to returning it does (invariant 3).
-          condemn(m, "silent");
+          terminate(m, "silent");
         } else if (m.unlisted_at >= 0 && silent > 2 * settings_.report_s) {
-          condemn(m, "silent and not listed any more");
+          terminate(m, "silent and not listed any more");
         } else if (m.state == MachineState::draining) {
-          if (m.tasks.empty() && !m.strays) {
-            condemn(m, "drained");
+          if (m.tasks.empty() && !m.has_unknown_tasks) {
+            terminate(m, "drained");
           } else if (now - m.draining_since > settings_.tuning.drain_deadline_s) {
             for (const auto& [j, t] : m.tasks) {
               Job& job = *jobs_[j];
@@ -498,53 +501,54 @@
           }
         }
         break;
-      case MachineState::condemned:
+      case MachineState::terminating:
       case MachineState::gone:
         break;
     }
   }
 }
 
-std::optional<Hire> Core::next_hire(double now) {
-  if (lost_ || hire_in_flight_ || hires_.empty() || now < hire_retry_at_) return std::nullopt;
-  hire_in_flight_ = true;
-  return hires_.front();
+std::optional<RentalRequest> Core::next_rental_request(double now) {
+  if (lost_ || rental_in_flight_ || rental_requests_.empty() || now < rent_retry_at_)
+    return std::nullopt;
+  rental_in_flight_ = true;
+  return rental_requests_.front();
 }
 
-void Core::on_hire(const Hire& hire, CloudOutcome outcome, const std::vector<std::string>& names,
-                   double now) {
-  hire_in_flight_ = false;
-  if (hires_.empty() || hires_.front().name != hire.name) return;
-  const Index t = type_names_.find(hire.type);
-  const Index z = zone_names_.intern(hire.zone);
+void Core::on_rental_result(const RentalRequest& request, CloudOutcome outcome,
+                            const std::vector<std::string>& names, double now) {
+  rental_in_flight_ = false;
+  if (rental_requests_.empty() || rental_requests_.front().name != request.name) return;
+  const Index t = type_names_.find(request.type);
+  const Index z = zone_names_.intern(request.zone);
   switch (outcome) {
     case CloudOutcome::done:
       for (const std::string& n : names) {
         Machine& m = machine(n, now);
-        if (m.state != MachineState::booting || m.heard) continue;
+        if (m.state != MachineState::booting || m.registered) continue;
         m.type = t;
         m.zone = z;
-        m.spot = hire.spot;
-        m.hired_at = now;
+        m.spot = request.spot;
+        m.rented_at = now;
         rented_list_.mark_changed(m.index);
       }
-      spdlog::info("hired {} of {} {} {} machines in {}", names.size(), hire.count,
-                   hire.spot ? "spot" : "ordinary", hire.type, hire.zone);
-      hires_.pop_front();
-      if (names.size() < static_cast<size_t>(hire.count) && t != kNone)
-        type_state_[t].refused_until[{z, hire.spot}] = now + settings_.tuning.refusal_s;
+      spdlog::info("hired {} of {} {} {} machines in {}", names.size(), request.count,
+                   request.spot ? "spot" : "ordinary", request.type, request.zone);
+      rental_requests_.pop_front();
+      if (names.size() < static_cast<size_t>(request.count) && t != kNone)
+        type_state_[t].refused_until[{z, request.spot}] = now + settings_.tuning.refusal_s;
       break;
     case CloudOutcome::no_capacity:
-      spdlog::info("no {} {} machines in {}", hire.spot ? "spot" : "ordinary", hire.type,
-                   hire.zone);
-      hires_.pop_front();
+      spdlog::info("no {} {} machines in {}", request.spot ? "spot" : "ordinary", request.type,
+                   request.zone);
+      rental_requests_.pop_front();
       if (t != kNone)
-        type_state_[t].refused_until[{z, hire.spot}] = now + settings_.tuning.refusal_s;
+        type_state_[t].refused_until[{z, request.spot}] = now + settings_.tuning.refusal_s;
       break;
     case CloudOutcome::refused:
       // Not executed. A copy of it may be under way from an earlier try, so it keeps its name.
     case CloudOutcome::unknown:
-      hire_retry_at_ = now + settings_.tuning.hire_every_s;
+      rent_retry_at_ = now + settings_.tuning.rent_every_s;
       break;
   }
 }
@@ -553,7 +557,7 @@
   std::vector<std::string> out;
   if (lost_) return out;
   for (const auto& m : machines_) {
-    if (m->state != MachineState::condemned || m->returning || now < m->return_after) continue;
+    if (m->state != MachineState::terminating || m->returning || now < m->return_after) continue;
     if (cancelled_only && !holds_cancelled(*m)) continue;
     m->returning = true;
     out.push_back(m->name);
@@ -597,20 +601,20 @@
       rented_list_.mark_changed(m.index);
     }
     if (m.addr.empty()) m.addr = l.addr;
-    if (!m.heard) m.hired_at = std::min(m.hired_at, now - l.age_s);
-    if (l.state == ListedMachine::State::running && !m.heard && !m.was_up) {
+    if (!m.registered) m.rented_at = std::min(m.rented_at, now - l.age_s);
+    if (l.state == ListedMachine::State::running && !m.registered && !m.was_up) {
       m.was_up = true;
       m.last_report = now;  // from here on its silence means something, not since it was rented
     }
-    if (l.state == ListedMachine::State::failed && m.state != MachineState::condemned)
-      condemn(m, "failed");
+    if (l.state == ListedMachine::State::failed && m.state != MachineState::terminating)
+      terminate(m, "failed");
   }
   for (const auto& mp : machines_) {
     Machine& m = *mp;
     if (m.state == MachineState::gone || seen.count(m.index)) continue;
     // A list may be older than the one before it: an absence counts only when the machine was
     // listed before, or is older than any list can lag.
-    if (m.listed || asked - m.hired_at > 2 * settings_.list_lag_s + 1) {
+    if (m.listed || asked - m.rented_at > 2 * settings_.list_lag_s + 1) {
       if (m.unlisted_at < 0) m.unlisted_at = now;
     }
   }
@@ -625,13 +629,13 @@
     return RentedMachine{m.name, m.type, m.zone, m.spot};
   };
   const uint64_t id = ++next_txn_;
-  Flight f;
-  f.kind = Flight::Kind::fleet;
+  InFlightTransaction f;
+  f.kind = InFlightTransaction::Kind::fleet;
   f.txn.mark = mark_of(id);
   f.txn.conditions = {{ledger::kLeaderKey, token_}};
   rented_list_.write(now, settings_.txn_ops, listed, type_names_, zone_names_, f.txn);
   PendingTransaction p{id, f.txn, false};
-  flights_[id] = std::move(f);
+  in_flight_transactions_[id] = std::move(f);
   return p;
 }
 
--- a/src/core/lease_clock.h
+++ b/src/core/lease_clock.h
@@ -15,12 +15,12 @@
   // Steady clocks drift apart by up to 0.05%: our count of a lease's time ends early by more.
   static constexpr double kDrift = 0.998;
 
-  explicit LeaseClock(double now = 0) : pulse_(now), woke_at_(now) {}
+  explicit LeaseClock(double now = 0) : last_stall_check_(now), woke_at_(now) {}
 
   // For how long the process stood still before now; 0: it did not.
   double stall(double now) {
-    const double still = now - pulse_;
-    pulse_ = std::max(pulse_, now);
+    const double still = now - last_stall_check_;
+    last_stall_check_ = std::max(last_stall_check_, now);
     if (still < kStall) return 0;
     woke_at_ = now;
     return still;
@@ -39,10 +39,12 @@
   bool runs(double now, double ttl) const { return now - kept_at_ < ttl * kDrift; }
   // After that, doubt that failed renewals made is an outage that this process lived through. Doubt
   // that it slept through is none: others may have been elected.
-  bool sure(double now, double ttl) const { return runs(now, ttl) || asked_at_ > woke_at_; }
+  bool lease_confirmed(double now, double ttl) const {
+    return runs(now, ttl) || asked_at_ > woke_at_;
+  }
 
  private:
-  double pulse_, woke_at_, kept_at_ = -1e9, asked_at_ = -1e9;
+  double last_stall_check_, woke_at_, kept_at_ = -1e9, asked_at_ = -1e9;
 };
 
 }  // namespace rookdyke
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -143,7 +143,7 @@
 }
 
 json encode_spec(const JobSpec& s) {
-  return {{"lot", s.lot},
+  return {{"lot", s.job_class},
           {"team", s.team},
           {"image", s.image},
           {"zone", s.zone},
@@ -167,7 +167,7 @@
   JobSpec s;
   s.id = id;
   s.tasks = tasks;
-  v.at("lot").get_to(s.lot);
+  v.at("lot").get_to(s.job_class);
   v.at("team").get_to(s.team);
   v.at("image").get_to(s.image);
   v.at("zone").get_to(s.zone);
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -1,7 +1,7 @@
 #pragma once
 // What must be durable, and in which rows of the state service it lies.
 //
-//   rd/leader        who leads; hangs on the leader's lease, its stamp is the token
+//   rd/leader        who leads; hangs on the leader's lease, its version is the token
 //   rd/read_to       the revision up to which the leader has read, where siblings cannot be told
 //   rd/types         machine sizes, so that every node decides 422 alike
 //   rd/j/<job>       a job: its description until it is done, its final state for ever
@@ -118,7 +118,7 @@
 // A transaction in the core's terms; the state client puts it into the protocol's.
 struct Condition {
   std::string key;
-  uint64_t stamp = 0;  // 0: must not exist
+  uint64_t version = 0;  // 0: must not exist
 };
 struct Change {
   std::string key;
--- a/src/core/mirror.cpp
+++ b/src/core/mirror.cpp
@@ -14,12 +14,12 @@
 }
 }  // namespace
 
-void Mirror::put_page(uint32_t n, const nlohmann::json& value, uint64_t stamp) {
+void Mirror::put_page(uint32_t n, const nlohmann::json& value, uint64_t version) {
   MirrorPage& page = pages_[n];
-  if (stamp <= page.stamp) return;
-  // Whoever writes it next has to know its stamp, also if it cannot be read: a leader whose write
+  if (version <= page.version) return;
+  // Whoever writes it next has to know its version, also if it cannot be read: a leader whose write
   // fails on it steps down, and so would all its successors.
-  page.stamp = stamp;
+  page.version = version;
   auto read = ledger::decode_page(value);
   if (!read) {
     spdlog::error("ledger: page {} cannot be read", n);
@@ -39,33 +39,33 @@
   }
 }
 
-void Mirror::put(const std::string& key, const nlohmann::json& value, uint64_t stamp) {
+void Mirror::put(const std::string& key, const nlohmann::json& value, uint64_t version) {
   if (reloading_) seen_.insert(key);
   if (starts_with(key, ledger::kJobPrefix)) {
     const std::string id = key.substr(std::string_view(ledger::kJobPrefix).size());
     MirrorJob& job = jobs_[id];
-    if (stamp <= job.stamp) return;
+    if (version <= job.version) return;
     auto row = ledger::decode_job(id, value);
     if (!row) {
       spdlog::error("ledger: row {} cannot be read", key);
       return;
     }
-    job.stamp = stamp;
+    job.version = version;
     job.row = std::move(*row);
     if (job.row.standing == ledger::Standing::aborted)
-      last_cancelled_ = std::max(last_cancelled_, stamp);
+      last_cancelled_ = std::max(last_cancelled_, version);
   } else if (starts_with(key, ledger::kTaskPrefix)) {
     const std::string_view number =
         std::string_view(key).substr(std::string_view(ledger::kTaskPrefix).size());
     uint32_t n = 0;
     auto [p, ec] = std::from_chars(number.data(), number.data() + number.size(), n);
     if (ec == std::errc() && p == number.data() + number.size() && n < ledger::kMostPages)
-      put_page(n, value, stamp);
+      put_page(n, value, version);
     else
       spdlog::error("ledger: {} is no page", key);
   } else if (key == ledger::kLeaderKey) {
-    if (stamp <= leader_stamp_) return;
-    leader_stamp_ = stamp;
+    if (version <= leader_version_) return;
+    leader_version_ = version;
     const auto label = value.is_object() ? value.find("label") : value.end();
     const bool readable = label != value.end() && label->is_string();
     if (!readable) spdlog::error("ledger: the leader key cannot be read");
@@ -73,8 +73,8 @@
   } else if (key == ledger::kReadToKey) {
     if (value.is_number_unsigned()) read_to_ = std::max(read_to_, value.get<uint64_t>());
   } else if (key == ledger::kTypesKey) {
-    if (stamp <= types_stamp_) return;
-    types_stamp_ = stamp;
+    if (version <= types_version_) return;
+    types_version_ = version;
     types_ = ledger::decode_types(value);
     if (types_.empty()) spdlog::error("ledger: the machine types cannot be read");
   } else if (starts_with(key, ledger::kFleetPrefix)) {
@@ -83,18 +83,18 @@
       return;
     }
     auto& row = fleet_[key];
-    if (stamp > row.first) row = {stamp, value};
+    if (version > row.first) row = {version, value};
   }
 }
 
-void Mirror::erase(const std::string& key, uint64_t stamp) {
+void Mirror::erase(const std::string& key, uint64_t version) {
   if (key == ledger::kLeaderKey) {
-    if (leader_stamp_ >= stamp) return;
+    if (leader_version_ >= version) return;
     leader_.clear();
-    leader_stamp_ = stamp;
+    leader_version_ = version;
   } else if (starts_with(key, ledger::kFleetPrefix)) {
     auto it = fleet_.find(key);
-    if (it != fleet_.end() && it->second.first < stamp) fleet_.erase(it);
+    if (it != fleet_.end() && it->second.first < version) fleet_.erase(it);
   }
   // Job rows are never deleted, since a final state must be kept, nor are pages.
 }
@@ -114,7 +114,7 @@
 
 const MirrorJob* Mirror::job(const std::string& id) const {
   auto it = jobs_.find(id);
-  return it == jobs_.end() || it->second.stamp == 0 ? nullptr : &it->second;
+  return it == jobs_.end() || it->second.version == 0 ? nullptr : &it->second;
 }
 
 std::optional<JobAnswer> Mirror::answer(const std::string& id) const {
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -21,12 +21,12 @@
 };
 
 struct MirrorPage {
-  uint64_t stamp = 0;
+  uint64_t version = 0;
   std::vector<std::pair<std::string, uint32_t>> holds;  // (job, chunk)
 };
 
 struct MirrorJob {
-  uint64_t stamp = 0;  // 0: only its chunks are known
+  uint64_t version = 0;  // 0: only its chunks are known
   ledger::JobRow row;
   std::map<uint32_t, MirrorChunk> chunks;
 };
@@ -38,9 +38,9 @@
 
 class Mirror {
  public:
-  // One row as read or watched; an older stamp than the known one changes nothing.
-  void put(const std::string& key, const nlohmann::json& value, uint64_t stamp);
-  void erase(const std::string& key, uint64_t stamp);
+  // One row as read or watched; an older version than the known one changes nothing.
+  void put(const std::string& key, const nlohmann::json& value, uint64_t version);
+  void erase(const std::string& key, uint64_t version);
 
   // A full read: begin, put every row, end drops what was not put.
   void begin_reload();
@@ -51,24 +51,24 @@
   const std::unordered_map<std::string, MirrorJob>& jobs() const { return jobs_; }
 
   const std::string& leader() const { return leader_; }  // label, empty: none
-  uint64_t leader_stamp() const { return leader_stamp_; }
+  uint64_t leader_version() const { return leader_version_; }
   uint64_t read_to() const { return read_to_; }                // by a leader, as it wrote
-  uint64_t last_cancelled() const { return last_cancelled_; }  // highest stamp of such a row
+  uint64_t last_cancelled() const { return last_cancelled_; }  // highest version of such a row
   const std::vector<TypeInfo>& types() const { return types_; }
-  uint64_t types_stamp() const { return types_stamp_; }
+  uint64_t types_version() const { return types_version_; }
   const std::map<std::string, std::pair<uint64_t, nlohmann::json>>& fleet() const { return fleet_; }
   const std::map<uint32_t, MirrorPage>& pages() const { return pages_; }
 
  private:
-  void put_page(uint32_t n, const nlohmann::json& value, uint64_t stamp);
+  void put_page(uint32_t n, const nlohmann::json& value, uint64_t version);
 
   std::unordered_map<std::string, MirrorJob> jobs_;
   std::map<uint32_t, MirrorPage> pages_;
   std::string leader_;
-  uint64_t leader_stamp_ = 0;
+  uint64_t leader_version_ = 0;
   uint64_t read_to_ = 0, last_cancelled_ = 0;
   std::vector<TypeInfo> types_;
-  uint64_t types_stamp_ = 0;
+  uint64_t types_version_ = 0;
   std::map<std::string, std::pair<uint64_t, nlohmann::json>> fleet_;
   bool reloading_ = false;
   std::unordered_set<std::string> seen_;  // keys of the running reload
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -87,7 +87,7 @@
   const double age = now - job.seen_at;
   for (const double within : job.start_within) {
     if (within <= age) continue;
-    if (job.prompt) return within - age - kPromptFirst;
+    if (job.has_start_promise) return within - age - kPromptFirst;
     if (within - age < kDueSoon) return within - age - kDueFirst;
   }
   const double left = (job.tasks() - job.done_count) * job.share * job.spec.estimate_s;
@@ -196,9 +196,10 @@
     s += same ? 0.5 * fetch : fetch * (1.0 + static_cast<double>(others));
   }
   if (job.spec.spot && !m.spot) s += kSpotPreference;
-  if (!job.prompt)
+  if (!job.has_start_promise)
     for (const auto& [i, e] : m.images)
-      if (i != job.image && prompt_images_.count(i)) s += kLeaveWarm * type.fetch_s(e.second);
+      if (i != job.image && start_promise_images_.count(i))
+        s += kLeaveWarm * type.fetch_s(e.second);
   const double filled = m.used.share_of(type.size);
   return s + kPackPreference * (1 - filled);
 }
@@ -207,7 +208,7 @@
 // start it has to be there.
 bool Core::warm(const Job& job, const Machine& m) const {
   if (m.images.count(job.image)) return true;
-  return !job.prompt && std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) {
+  return !job.has_start_promise && std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) {
     return jobs_[t.first]->image == job.image;
   });
 }
@@ -292,7 +293,7 @@
   m.tasks.emplace_back(job.id, task);
   m.used += job.spec.each;
   team_used_[job.team] += job.spec.each;
-  mark_dirty(job, task, job.prompt ? Wait::promised : Wait::start, now);
+  mark_dirty(job, task, job.has_start_promise ? Wait::promised : Wait::start, now);
   spdlog::debug("task {}/{} attempt {}: proposed for {}", job.spec.id, task, number, m.name);
 }
 
@@ -341,7 +342,7 @@
 // long.
 bool Core::needs_warm(const Job& job, double now) const {
   const double age = now - job.seen_at;
-  if (!job.prompt || !job.attempts.empty()) return false;
+  if (!job.has_start_promise || !job.attempts.empty()) return false;
   for (const double within : job.start_within) {
     if (within <= age) continue;
     double fetch = 0;
@@ -419,7 +420,7 @@
 void Core::claim(const Job& job, const std::vector<Place>& free, double now) {
   const double waited = now - std::max(job.seen_at, job.last_start);
   const bool late = starved(job, now);
-  if (waited < (job.prompt ? kPromptClaimAfter : kSetAsideAfter) && !late) return;
+  if (waited < (job.has_start_promise ? kPromptClaimAfter : kSetAsideAfter) && !late) return;
   if (!late && job.tasks() * job.share > kClaimMost * static_cast<double>(ready_)) return;
   std::map<Index, uint32_t> slots;
   for (const Place& p : free) slots[job.spec.one_zone ? machines_[p.machine]->zone : 0] += p.slots;
@@ -638,9 +639,9 @@
     if (budget <= 0) break;
     Job& job = *jobs_[i];
     ++work_.jobs_looked_at;
-    if (job.gang() || job.prompt || starved(job, now)) {
+    if (job.gang() || job.has_start_promise || starved(job, now)) {
       if (first) continue;  // after arrays that go before it
-      attend(job, now, budget, preempt);
+      place_job(job, now, budget, preempt);
       continue;
     }
     if (!first) first = &job;
@@ -654,13 +655,13 @@
     if (budget <= 0) break;
     Job& job = *jobs_[i];
     after = after || &job == first;
-    if (after && !job.waiting.empty()) attend(job, now, budget, preempt);
+    if (after && !job.waiting.empty()) place_job(job, now, budget, preempt);
   }
   for (const auto& [m, each] : claims_) machines_[m]->used -= each;
   claims_.clear();
 }
 
-void Core::attend(Job& job, double now, int& budget, bool preempt) {
+void Core::place_job(Job& job, double now, int& budget, bool preempt) {
   ++work_.jobs_looked_at;
   const bool warm_only = needs_warm(job, now);
   const bool placed = job.gang() ? place_gang(job, now, budget, warm_only)
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-// Errors of this many distinct jobs without a success between them condemn a machine.
+// Errors of this many distinct jobs without a success between them terminate a machine.
 constexpr size_t kSickAfter = 2;
 // After its first error a machine takes no new work for this long, unless it succeeds.
 constexpr double kSuspectFor = 20;
@@ -20,7 +20,7 @@
 // leader ended with a closed connection begin to come by themselves.
 constexpr double kIntroduceAfter = 1;
 // With so many machines called in vain the others are left to come by themselves for a while: each
-// such call keeps a thread that direct orders need.
+// such call keeps a thread that direct commands need.
 constexpr int kMostCalledInVain = 10;
 
 // By when workers that can find their way to a leader of that start have mostly come.
@@ -46,8 +46,8 @@
 
 }  // namespace
 
-void Core::learn(Machine& m, const Report& r, double now) {
-  if (!m.heard) {
+void Core::register_report(Machine& m, const Report& r, double now) {
+  if (!m.registered) {
     m.addr = r.addr;
     // What the cloud said of it is not given up for a type that nobody knows.
     const Index type = type_names_.find(r.type);
@@ -57,17 +57,17 @@
       m.spot = r.spot;
     }
     record_boot(m, now);
-    m.heard = true;
-    m.mute = 0;
-    m.mute_since = -1;
+    m.registered = true;
+    m.reports_with_older_token = 0;
+    m.older_token_since = -1;
     spdlog::debug("machine {} reports for the first time, {:.1f} s after it was hired or met",
-                  m.name, now - m.hired_at);
+                  m.name, now - m.rented_at);
   }
   m.was_up = true;
   m.last_report = now;
   if (m.session != r.session) {
-    m.unanswered.clear();  // a direct order names its session
-    m.owed.clear();
+    m.unanswered.clear();  // a direct command names its session
+    m.unacknowledged_commands.clear();
   }
   m.session = r.session;
   m.seq = r.seq;
@@ -180,14 +180,14 @@
   end_attempt(job, a.task, t.cause, now, "its worker reports the exit");
 }
 
-void Core::recall(Machine& m, double notice_s, double now) {
-  if (m.recall_at < 0) {
+void Core::on_reclaim_notice(Machine& m, double notice_s, double now) {
+  if (m.reclaim_at < 0) {
     spdlog::info("machine {} will be taken back in {:.1f} s, {} tasks on it", m.name, notice_s,
                  m.tasks.size());
     m.cordoned = true;
     drain(m, now, "notice");
   }
-  m.recall_at = now + notice_s;
+  m.reclaim_at = now + notice_s;
   for (const auto& [j, t] : m.tasks) {
     Job& job = *jobs_[j];
     Attempt& a = job.attempts.at(t);
@@ -212,7 +212,7 @@
   }
   Machine& m = machine(r.machine, now);
   if (m.state == MachineState::gone) return reply;  // a late report of a returned machine
-  if (m.heard && std::make_pair(r.session, r.seq) <= std::make_pair(m.session, m.seq)) {
+  if (m.registered && std::make_pair(r.session, r.seq) <= std::make_pair(m.session, m.seq)) {
     // Held back on its way: its task list is as old as it is, and its answer goes nowhere.
     reply.verdict = ReportReply::Verdict::old;
     return reply;
@@ -221,21 +221,22 @@
     // Invariant 7: sent before its worker had seen our token, so perhaps long ago, and perhaps a
     // copy: it proves nothing, shows no life, and is answered with the token alone. A worker that
     // takes that up reports again within half a second.
-    if (std::make_pair(r.session, r.seq) > std::make_pair(m.mute_session, m.mute_seq)) {
-      m.mute_session = r.session;
-      m.mute_seq = r.seq;
+    if (std::make_pair(r.session, r.seq) >
+        std::make_pair(m.older_token_session, m.older_token_seq)) {
+      m.older_token_session = r.session;
+      m.older_token_seq = r.seq;
       // Those that a cut held back come all at once: they count for one.
-      if (m.mute == 0 || now - m.mute_at > 0.5 * settings_.report_s) {
-        m.mute_at = now;
-        if (m.mute++ == 0) m.mute_since = now;
+      if (m.reports_with_older_token == 0 || now - m.older_token_at > 0.5 * settings_.report_s) {
+        m.older_token_at = now;
+        if (m.reports_with_older_token++ == 0) m.older_token_since = now;
       }
       if (m.addr.empty()) m.addr = r.addr;
     }
     return reply;
   }
   // It lost its lease although we answered it all along: our answers do not reach it.
-  if (m.heard && r.session > m.session && now - m.last_report < 0.6 * settings_.lease_s)
-    m.unheeded = kUnheeded;
+  if (m.registered && r.session > m.session && now - m.last_report < 0.6 * settings_.lease_s)
+    m.reports_without_acknowledgement = kUnreachableAfterReports;
   // Invariant 3, "its tenure rose": the worker killed everything of earlier sessions.
   const auto here = m.tasks;
   for (const auto& [j, t] : here) {
@@ -244,21 +245,21 @@
       end_attempt(job, t, Cause::none, now, "the worker's session rose");
   }
   const size_t busy = m.tasks.size();
-  const bool known = m.heard;
-  learn(m, r, now);
-  heed(m, r);
-  if (r.notice_s >= 0) recall(m, r.notice_s, now);
+  const bool known = m.registered;
+  register_report(m, r, now);
+  note_acknowledged_commands(m, r);
+  if (r.notice_s >= 0) on_reclaim_notice(m, r.notice_s, now);
   orders_for(m, r, reply, now);
-  if (!known || m.tasks.size() < busy) eager_ = true;
+  if (!known || m.tasks.size() < busy) wants_round_ = true;
   return reply;
 }
 
 // A machine whose reports arrive while nothing that we say reaches it shows by them that what their
 // predecessors were answered was never taken up. Silence is not asked for: it has none.
-void Core::heed(Machine& m, const Report& r) {
-  if (m.owed.empty()) return;
+void Core::note_acknowledged_commands(Machine& m, const Report& r) {
+  if (m.unacknowledged_commands.empty()) return;
   size_t taken = 0;
-  for (const auto& [verb, job, task, attempt] : m.owed) {
+  for (const auto& [verb, job, task, attempt] : m.unacknowledged_commands) {
     const TaskReport* t = nullptr;
     for (const TaskReport& x : r.tasks)
       if (x.task == task && x.attempt == attempt && x.job == job) t = &x;
@@ -267,11 +268,11 @@
                                             : !t || t->seen >= Seen::saving;
     taken += done;
   }
-  m.owed.clear();
+  m.unacknowledged_commands.clear();
   if (taken > 0) {
     if (m.unreachable()) spdlog::info("machine {}: our answers reach it again", m.name);
-    m.unheeded = 0;
-  } else if (++m.unheeded == kUnheeded) {
+    m.reports_without_acknowledgement = 0;
+  } else if (++m.reports_without_acknowledgement == kUnreachableAfterReports) {
     spdlog::info("machine {} takes up nothing of what it is answered", m.name);
   }
 }
@@ -279,7 +280,7 @@
 // Takes over what the report says of each task; collects the orders its list calls for.
 void Core::take_list(Machine& m, const Report& r, std::vector<Order>* stops,
                      std::vector<Order>* clears, Listed& listed, double now) {
-  m.strays = false;
+  m.has_unknown_tasks = false;
   for (const TaskReport& t : r.tasks) {
     Job* job = find(job_names_.find(t.job));
     Attempt* a = nullptr;
@@ -292,7 +293,7 @@
       // Unknown: removed durably before (its exit counts, invariant 4), or of a job that is over.
       if (t.seen != Seen::exited) {
         if (stops) stops->push_back({Verb::stop, t.job, t.task, t.attempt, 0});
-        m.strays = true;
+        m.has_unknown_tasks = true;
       } else if (clears && !m.unanswered.count({t.job, t.task, t.attempt})) {
         clears->push_back({Verb::clear, t.job, t.task, t.attempt, 0});
       }
@@ -360,7 +361,8 @@
   for (auto* list : {&clears, &stops, &runs})
     reply.orders.insert(reply.orders.end(), list->begin(), list->end());
   if (reply.orders.size() > 400) reply.orders.resize(400);  // 64 KiB; the rest rides next time
-  for (const Order& o : reply.orders) m.owed.emplace_back(o.verb, o.job, o.task, o.attempt);
+  for (const Order& o : reply.orders)
+    m.unacknowledged_commands.emplace_back(o.verb, o.job, o.task, o.attempt);
 }
 
 // Workers stay with the controller that answers them: a deposed leader that is cut from its
@@ -368,46 +370,47 @@
 // with our token, makes their next report to it carry the news. And workers of a leader that stands
 // still or fell away wait for its answer first, and then perhaps for that of another node that is
 // gone: until they come, calls tell what runs there and start what waits.
-std::optional<Direct> Core::introduction(double now) {
-  if (now - started_ < kIntroduceAfter || now < introduce_at_) return std::nullopt;
+std::optional<DirectCommand> Core::token_announcement(double now) {
+  if (now - started_ < kIntroduceAfter || now < announce_token_at_) return std::nullopt;
   const double expected = expected_by(started_, settings_);
   const auto in_vain = std::count_if(machines_.begin(), machines_.end(), [](const auto& m) {
-    return m->introductions > 0 && !m->heard && !m->direct_in_flight;
+    return m->token_announcements > 0 && !m->registered && !m->direct_in_flight;
   });
   if (in_vain >= kMostCalledInVain && now < expected) return std::nullopt;
   for (const auto& mp : machines_) {
     Machine& m = *mp;
-    if (m.heard || m.addr.empty() || m.direct_in_flight || m.introductions >= 4) continue;
-    if (m.state != MachineState::booting || now < m.introduce_at) continue;
-    if (!m.was_up && m.mute == 0) continue;
-    ++m.introductions;
-    m.introduce_at = std::max(now + 3, expected);
+    if (m.registered || m.addr.empty() || m.direct_in_flight || m.token_announcements >= 4)
+      continue;
+    if (m.state != MachineState::booting || now < m.announce_token_at) continue;
+    if (!m.was_up && m.reports_with_older_token == 0) continue;
+    ++m.token_announcements;
+    m.announce_token_at = std::max(now + 3, expected);
     m.direct_in_flight = true;
-    Direct d;
+    DirectCommand d;
     d.machine = m.index;
     d.addr = m.addr;
     d.session = std::max<uint64_t>(1, m.session);
     return d;
   }
-  introduce_at_ = now + 0.5;
+  announce_token_at_ = now + 0.5;
   return std::nullopt;
 }
 
-std::optional<Direct> Core::next_direct(double now) {
+std::optional<DirectCommand> Core::next_direct_command(double now) {
   if (lost_) return std::nullopt;
-  for (auto it = direct_.begin(); it != direct_.end();) {
+  for (auto it = direct_command_due_.begin(); it != direct_command_due_.end();) {
     Machine& m = *machines_[*it];
     // Silent machines are left to their reports: an unanswered order is a burden.
     if (m.direct_in_flight || now < m.direct_after) {
       ++it;
       continue;
     }
-    it = direct_.erase(it);
-    if (!m.heard || m.unreachable() || m.addr.empty() ||
+    it = direct_command_due_.erase(it);
+    if (!m.registered || m.unreachable() || m.addr.empty() ||
         now - m.last_report > 1.7 * settings_.report_s)
       continue;
     if (m.state != MachineState::ready && m.state != MachineState::draining) continue;
-    Direct d;
+    DirectCommand d;
     d.machine = m.index;
     d.addr = m.addr;
     d.session = m.session;
@@ -429,10 +432,11 @@
     m.direct_in_flight = true;
     return d;
   }
-  return introduction(now);
+  return token_announcement(now);
 }
 
-void Core::on_direct(const Direct& d, bool answered, const std::optional<Report>& r, double now) {
+void Core::on_direct_command_result(const DirectCommand& d, bool answered,
+                                    const std::optional<Report>& r, double now) {
   Machine& m = *machines_[d.machine];
   m.direct_in_flight = false;
   if (r && r->token > token_) {
@@ -453,11 +457,11 @@
       if (o.verb == Verb::run) m.unanswered.insert({o.job, o.task, o.attempt});
   }
   if (!r || m.state == MachineState::gone) return;
-  if (!m.heard) {
-    // An introduction. The answer to a call of our own is no late copy.
+  if (!m.registered) {
+    // A token announcement. The answer to a call of our own is no late copy.
     m.session = std::max(m.session, r->session);
     if (r->token < token_) {
-      if (r->session != d.session) m.introduce_at = now;  // once more, with its session
+      if (r->session != d.session) m.announce_token_at = now;  // once more, with its session
       return;
     }
     on_report(*r, now);
@@ -480,22 +484,22 @@
   };
   for (const auto& m : machines_) {
     later(m->last_report);
-    later(m->unheeded_since);
-    later(m->mute_since);
+    later(m->unacknowledged_since);
+    later(m->older_token_since);
   }
   many_silent_until_ = -1;
 }
 
-bool Core::deaf(double now) const {
-  size_t heard = 0, silent = 0;
+bool Core::receives_no_reports(double now) const {
+  size_t registered = 0, silent = 0;
   const double limit = std::max(2.2 * settings_.report_s, 5.0);
   for (const auto& m : machines_) {
-    if (m->state == MachineState::gone || !m->heard) continue;
-    if (m->recall_at >= 0 && now > m->recall_at) continue;
-    ++heard;
+    if (m->state == MachineState::gone || !m->registered) continue;
+    if (m->reclaim_at >= 0 && now > m->reclaim_at) continue;
+    ++registered;
     if (now - m->last_report > limit) ++silent;
   }
-  return silent >= 2 && silent * 10 >= heard * 7;
+  return silent >= 2 && silent * 10 >= registered * 7;
 }
 
 }  // namespace rookdyke
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -22,7 +22,7 @@
   // [fleet]
   double lull_s = 15;
   double drain_deadline_s = 600;
-  double hire_every_s = 0.35;
+  double rent_every_s = 0.35;
 
   double refusal_s = 15;     // how long a refused (type, zone, kind) is left alone
   double boot_patience = 3;  // times boot_s until a machine that never came up is returned
@@ -36,7 +36,7 @@
 // What the operators promise for a class of jobs; here it only orders work of equal rank.
 struct Objective {
   bool start = false;  // of starting; else of finishing
-  std::string lot;
+  std::string job_class;
   double within_s = 0;
 };
 
--- a/src/core/states.cpp
+++ b/src/core/states.cpp
@@ -52,13 +52,15 @@
 bool allowed(MachineState from, MachineState to) {
   switch (from) {
     case MachineState::booting:
-      return to == MachineState::ready || to == MachineState::condemned || to == MachineState::gone;
+      return to == MachineState::ready || to == MachineState::terminating ||
+             to == MachineState::gone;
     case MachineState::ready:
-      return to == MachineState::draining || to == MachineState::condemned ||
+      return to == MachineState::draining || to == MachineState::terminating ||
              to == MachineState::gone;
     case MachineState::draining:
-      return to == MachineState::ready || to == MachineState::condemned || to == MachineState::gone;
-    case MachineState::condemned:
+      return to == MachineState::ready || to == MachineState::terminating ||
+             to == MachineState::gone;
+    case MachineState::terminating:
       return to == MachineState::gone;
     case MachineState::gone:
       return false;
--- a/src/core/states.h
+++ b/src/core/states.h
@@ -21,9 +21,9 @@
 //   booting   rented, its worker has not reported yet
 //   ready     reports; takes work
 //   draining  reports; takes nothing new and is returned once empty
-//   condemned to be returned as soon as the cloud takes the call
+//   terminating to be returned as soon as the cloud takes the call
 //   gone      the cloud answered 200 to its return
-enum class MachineState : uint8_t { booting, ready, draining, condemned, gone };
+enum class MachineState : uint8_t { booting, ready, draining, terminating, gone };
 
 std::string_view to_string(JobState s);
 std::string_view to_string(AttemptState s);
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -66,7 +66,7 @@
 
 // A job as its user described it, in text; what the ledger stores.
 struct JobSpec {
-  std::string id, lot, team, image, zone;  // zone empty: any
+  std::string id, job_class, team, image, zone;  // zone empty: any
   Shape shape = Shape::array;
   Rank rank = Rank::standard;
   uint32_t tasks = 1;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr double kRest = 12;          // how long a deaf leader leaves elections to the others
+constexpr double kRest = 12;          // a leader without reports is no candidate
 constexpr double kLeaderShare = 0.6;  // of requests to the state service; followers share the rest
 constexpr double kStateFresh = 2.5;   // the state service counts as answering this long
 // A doubtful leader keeps its workers' leases alive no longer than this: no outage that the
@@ -108,9 +108,9 @@
   }
   if (!api_->start() || !mesh_->start()) return false;
   lease_clock_ = LeaseClock(steady_now());
-  horizon_ = config_.nodes == 1 ? CancellationHorizon::of_only_controller()
-                                : CancellationHorizon(labels_of(config_.siblings));
-  threads_.emplace_back([this] { pulse_loop(); });
+  cancellation_staleness_ = config_.nodes == 1 ? CancellationStaleness::of_only_controller()
+                                               : CancellationStaleness(labels_of(config_.siblings));
+  threads_.emplace_back([this] { stall_check_loop(); });
   threads_.emplace_back([this] { watch_loop(); });
   threads_.emplace_back([this] { lead_loop(); });
   threads_.emplace_back([this] { engine_loop(); });
@@ -141,7 +141,7 @@
   mesh_->halt();
 }
 
-void Node::nap(std::unique_lock<std::mutex>& lock, std::condition_variable& cv, double s) {
+void Node::wait_for(std::unique_lock<std::mutex>& lock, std::condition_variable& cv, double s) {
   if (!stop_) cv.wait_for(lock, std::chrono::duration<double>(std::max(0.001, s)));
 }
 
@@ -149,10 +149,10 @@
 
 void Node::apply(const wire::Row& row) {
   if (row.erased) {
-    mirror_.erase(row.key, row.stamp);
+    mirror_.erase(row.key, row.version);
     return;
   }
-  mirror_.put(row.key, row.value, row.stamp);
+  mirror_.put(row.key, row.value, row.version);
   if (!core_) return;
   static const std::string prefix = ledger::kJobPrefix;
   if (row.key.compare(0, prefix.size(), prefix) != 0) return;
@@ -271,13 +271,13 @@
   revision_ = std::max(revision_, changes.revision);
   state_ok_at_ = steady_now();
   loaded_ = true;
-  if (mirror_.leader_stamp() > highest_token_ && !mirror_.leader().empty()) {
-    highest_token_ = mirror_.leader_stamp();
+  if (mirror_.leader_version() > highest_token_ && !mirror_.leader().empty()) {
+    highest_token_ = mirror_.leader_version();
     highest_leader_ = mirror_.leader();
   }
-  if (core_ && core_->eager()) engine_cv_.notify_one();
-  horizon_.proven(sent);
-  if (leads() && mirror_.leader_stamp() > token_)
+  if (core_ && core_->wants_round()) engine_cv_.notify_one();
+  cancellation_staleness_.proven(sent);
+  if (leads() && mirror_.leader_version() > token_)
     step_down(Role::follower, "the leader key is not ours");
   if (leads()) cancellation_gate_.leader_has_read(revision_);
   cancellation_gate_.leader_has_read(mirror_.read_to());
@@ -344,9 +344,9 @@
   }
   std::lock_guard lock(mutex_);
   const std::vector<TypeInfo> types = !mirror_.types().empty() ? mirror_.types() : types_;
-  if (types.empty() || mirror_.leader_stamp() != r.revision) {
+  if (types.empty() || mirror_.leader_version() != r.revision) {
     spdlog::warn("elected but not able to lead: machine types {}, key {} of {}",
-                 types.empty() ? "unknown" : "known", mirror_.leader_stamp(), r.revision);
+                 types.empty() ? "unknown" : "known", mirror_.leader_version(), r.revision);
     lease_ = *lease;
     set_role(Role::follower, "not able to lead");
     return false;
@@ -387,21 +387,21 @@
   lead_cv_.notify_all();
 }
 
-bool Node::sure(double now) {
+bool Node::lease_confirmed(double now) {
   notice_stall(now);
-  return leads() && lease_clock_.sure(now, config_.lease_ttl_s);
+  return leads() && lease_clock_.lease_confirmed(now, config_.lease_ttl_s);
 }
 
-bool Node::acts(double now) { return role_ == Role::leading && core_ && sure(now); }
+bool Node::acts(double now) { return role_ == Role::leading && core_ && lease_confirmed(now); }
 
-bool Node::doubts(double now) { return role_ == Role::doubtful && core_ && sure(now); }
+bool Node::doubts(double now) { return role_ == Role::doubtful && core_ && lease_confirmed(now); }
 
-bool Node::still_sure(uint64_t token) {
+bool Node::lease_still_confirmed(uint64_t token) {
   std::lock_guard lock(mutex_);
-  return token_ == token && sure(steady_now());
+  return token_ == token && lease_confirmed(steady_now());
 }
 
-void Node::pulse_loop() {
+void Node::stall_check_loop() {
   std::unique_lock lock(mutex_);
   while (!stop_) {
     notice_stall(steady_now());
@@ -444,7 +444,7 @@
     const double wait = leads() ? std::max(kShortestGap, leadership.next_renewal - steady_now())
                         : mirror_.leader().empty() ? kWaitVacant
                                                    : kWaitLed;
-    nap(lock, lead_cv_, wait);
+    wait_for(lock, lead_cv_, wait);
   }
   resign(leadership);
 }
@@ -479,7 +479,7 @@
   if (!leads()) return;
   if (outcome == state::Client::Renewal::kept) {
     lease_clock_.kept(sent);
-    horizon_.proven(sent);
+    cancellation_staleness_.proven(sent);
     if (role_ == Role::doubtful) set_role(Role::leading, "the lease is renewed");
   } else if (outcome == state::Client::Renewal::ended) {
     step_down(Role::follower, "the lease ended");
@@ -563,7 +563,7 @@
       const double now = steady_now();
       if (core_->lost()) {
         step_down(Role::follower, "the core lost its claim");
-      } else if (core_->deaf(now)) {
+      } else if (core_->receives_no_reports(now)) {
         // Cut from the workers while the state service still answers: they can only be reached
         // by another node. Their machines are not returned for our own deafness.
         step_down(Role::resting, "no worker reaches us");
@@ -593,7 +593,7 @@
       core_->watch_cancelled(steady_now());
       cloud_cv_.notify_all();
     }
-    nap(lock, engine_cv_, interval);
+    wait_for(lock, engine_cv_, interval);
   }
 }
 
@@ -604,13 +604,13 @@
     std::optional<PendingTransaction> p;
     // The transaction is made up only when it can go out: what comes meanwhile rides along.
     if (const double wait = state_budgets_.writes.wait_for(1); wait > 0.002) {
-      nap(lock, commit_cv_, wait);
+      wait_for(lock, commit_cv_, wait);
       continue;
     }
     if (acts(steady_now()))
       p = core_->next_transaction(steady_now(), static_cast<size_t>(state_budgets_.writes.there()));
     if (!p) {
-      nap(lock, commit_cv_, 0.5);
+      wait_for(lock, commit_cv_, 0.5);
       continue;
     }
     const uint64_t token = token_;
@@ -622,17 +622,17 @@
     if (core_ && token_ == token) core_->on_result(p->id, r, steady_now());
     direct_cv_.notify_one();
     if (r.outcome == ledger::Outcome::refused || r.outcome == ledger::Outcome::unknown)
-      nap(lock, commit_cv_, 0.1);
+      wait_for(lock, commit_cv_, 0.1);
   }
 }
 
 void Node::direct_loop() {
   std::unique_lock lock(mutex_);
   while (!stop_) {
-    std::optional<Direct> d;
-    if (acts(steady_now())) d = core_->next_direct(steady_now());
+    std::optional<DirectCommand> d;
+    if (acts(steady_now())) d = core_->next_direct_command(steady_now());
     if (!d) {
-      nap(lock, direct_cv_, 1.0);
+      wait_for(lock, direct_cv_, 1.0);
       continue;
     }
     const uint64_t token = token_;
@@ -649,9 +649,10 @@
       http.set_read_timeout(1, 0);
       http.set_write_timeout(1, 0);
       const std::string body = wire::pack(wire::direct(token, *d));
-      if (!still_sure(token)) {  // decided before we stood still, or before we stepped down
+      if (!lease_still_confirmed(token)) {  // we stood still, or stepped down
         lock.lock();
-        if (core_ && token_ == token) core_->on_direct(*d, true, std::nullopt, steady_now());
+        if (core_ && token_ == token)
+          core_->on_direct_command_result(*d, true, std::nullopt, steady_now());
         continue;
       }
       const auto r = http.Post(wire::kDirect, body, "application/msgpack");
@@ -670,8 +671,8 @@
     }
     lock.lock();
     if (core_ && token_ == token) {
-      core_->on_direct(*d, answered, report, steady_now());
-      if (core_->eager()) engine_cv_.notify_one();
+      core_->on_direct_command_result(*d, answered, report, steady_now());
+      if (core_->wants_round()) engine_cv_.notify_one();
     }
   }
 }
@@ -686,7 +687,7 @@
     const double now = steady_now();
     const bool lead = acts(now);
     const uint64_t token = token_;
-    const auto may_send = [this, token] { return still_sure(token); };
+    const auto may_send = [this, token] { return lease_still_confirmed(token); };
     const bool want_types = (mirror_.types().empty() && types_.empty()) || lead;
     if (want_types && now >= next_types) {
       const bool have = !mirror_.types().empty();
@@ -711,7 +712,7 @@
     }
     const bool doubtful = !lead && doubts(now);
     if (!lead && !doubtful) {
-      nap(lock, cloud_cv_, 0.7);
+      wait_for(lock, cloud_cv_, 0.7);
       continue;
     }
     if (auto names = core_->next_return(now, doubtful); !names.empty()) {
@@ -723,14 +724,15 @@
       continue;
     }
     if (doubtful) {
-      nap(lock, cloud_cv_, 0.7);
+      wait_for(lock, cloud_cv_, 0.7);
       continue;
     }
-    if (auto h = core_->next_hire(now)) {
+    if (auto h = core_->next_rental_request(now)) {
       lock.unlock();
-      const auto got = client.hire(*h, may_send);
+      const auto got = client.rent(*h, may_send);
       lock.lock();
-      if (core_ && token_ == token) core_->on_hire(*h, got.outcome, got.machines, steady_now());
+      if (core_ && token_ == token)
+        core_->on_rental_result(*h, got.outcome, got.machines, steady_now());
       continue;
     }
     if (now >= next_list) {
@@ -742,14 +744,15 @@
       if (list && core_ && token_ == token) core_->on_machine_list(*list, asked, steady_now());
       continue;
     }
-    nap(lock, cloud_cv_, std::min(0.5, std::max(0.05, next_list - now)));
+    wait_for(lock, cloud_cv_, std::min(0.5, std::max(0.05, next_list - now)));
   }
 }
 
 // ---------------------------------------------------------------- siblings
 
 uint64_t Node::known_token() const {
-  return std::max({highest_token_, token_, mirror_.leader().empty() ? 0 : mirror_.leader_stamp()});
+  return std::max(
+      {highest_token_, token_, mirror_.leader().empty() ? 0 : mirror_.leader_version()});
 }
 
 mesh::View Node::view() const {
@@ -765,7 +768,7 @@
   return v;
 }
 
-void Node::hear(const mesh::View& v) {
+void Node::on_peer_view(const mesh::View& v) {
   std::lock_guard lock(mutex_);
   siblings_at_ = steady_now();
   if (v.state_ok) siblings_ok_at_ = steady_now();
@@ -808,13 +811,14 @@
       ours.images = images;
       const double sent = steady_now();
       if (auto v = p->exchange(ours)) {
-        hear(*v);
+        on_peer_view(*v);
         std::lock_guard lock(mutex_);
-        horizon_.vouched(p->label(), v->incarnation, v->token, token_, sent, steady_now());
+        cancellation_staleness_.vouched(p->label(), v->incarnation, v->token, token_, sent,
+                                        steady_now());
       }
     }
     std::unique_lock lock(mutex_);
-    nap(lock, mesh_cv_, 1.0);
+    wait_for(lock, mesh_cv_, 1.0);
   }
 }
 
@@ -823,7 +827,8 @@
 // A leader that has no proof of having heard all cancellations lets its workers go before any lease
 // that it renewed could outlast cancel_s (core/cancellations.h).
 bool Node::knows_cancellations(double now) {
-  return now - horizon_.at() <= horizon_limit(config_.core.cancel_s, config_.core.lease_s);
+  return now - cancellation_staleness_.at() <=
+         staleness_limit(config_.core.cancel_s, config_.core.lease_s);
 }
 
 // Whether a sibling that cannot be told may wait to hear how far we have read.
@@ -856,18 +861,18 @@
     mesh::Cancelled c;
     const std::string leader = mirror_.leader();
     auto peer = peers.find(leader);
-    if (!leader.empty()) c.token = mirror_.leader_stamp();
+    if (!leader.empty()) c.token = mirror_.leader_version();
     for (const CancellationGate::Pending& p : cancellation_gate_.pending()) {
       if (c.rows.size() >= kTellAtOnce) break;
       const MirrorJob* j = mirror_.job(p.job);
       // Whom to ask follows from a ledger that has the row: an older one may name a leader that
       // was over when it was written.
-      const bool placed = p.leader > 0 ? p.leader <= c.token : j && revision_ >= j->stamp;
+      const bool placed = p.leader > 0 ? p.leader <= c.token : j && revision_ >= j->version;
       if (!j || !placed || peer == peers.end()) {
         cancellation_gate_.set_tried(p.job);
         continue;
       }
-      c.rows.push_back({p.job, ledger::encode(j->row), j->stamp});
+      c.rows.push_back({p.job, ledger::encode(j->row), j->version});
     }
     if (c.rows.empty()) {
       cancellation_gate_.wake_waiting();
@@ -884,7 +889,7 @@
     else
       spdlog::info("cancellations of {} jobs: {} has not taken them up", c.rows.size(), leader);
     for (const mesh::Cancelled::Row& r : c.rows) {
-      if (acknowledged) cancellation_gate_.acknowledge(r.job, r.stamp);
+      if (acknowledged) cancellation_gate_.acknowledge(r.job, r.version);
       cancellation_gate_.set_tried(r.job);
     }
     cancellation_gate_.wake_waiting();
@@ -896,11 +901,11 @@
 uint64_t Node::take_cancelled(const mesh::Cancelled& c) {
   std::lock_guard lock(mutex_);
   if (leads() && c.token > token_) step_down(Role::follower, "a sibling knows a newer leader");
-  if (!leads() || !core_ || core_->lost() || !sure(steady_now())) return 0;
+  if (!leads() || !core_ || core_->lost() || !lease_confirmed(steady_now())) return 0;
   for (const mesh::Cancelled::Row& r : c.rows) {
     const auto row = ledger::decode_job(r.job, r.value);
     if (!row || row->standing != ledger::Standing::aborted) return 0;
-    apply({ledger::job_key(r.job), r.value, r.stamp, false});
+    apply({ledger::job_key(r.job), r.value, r.version, false});
   }
   return token_;
 }
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -6,10 +6,10 @@
 //   engine    rounds of the core while leading
 //   committer transactions of the core
 //   direct    orders that do not wait for a worker's next report
-//   cloud     hires, returns, lists, machine types
+//   cloud     rentals, returns, lists, machine types
 //   mesh      exchanges views with siblings
 //   teller    tells the leader of cancellations before their users hear of them
-//   pulse     notices that the process stood still
+//   stall check     notices that the process stood still
 //   api       a thread per connection of users, workers, health checks
 //
 // One mutex guards the core, the mirror and the role; nothing blocks while holding it.
@@ -45,7 +45,8 @@
 // follower -> campaigning -> leading <-> doubtful -> resting -> follower
 //   leading   holds the leader key as far as it can know
 //   doubtful  could not renew for a lease's time: answers reports with its token, decides nothing
-//   resting   gave the key up because it was deaf: leaves the next election to the others
+//   resting   gave the key up because it received no reports: leaves the next election to the
+//   others
 enum class Role : uint8_t { follower, campaigning, leading, doubtful, resting };
 std::string_view to_string(Role r);
 
@@ -102,7 +103,7 @@
   void tell_loop();
   bool must_publish() const;  // under mutex_
   void publish_read_to(std::unique_lock<std::mutex>& lock, state::Client& client);
-  void hear(const mesh::View& v);
+  void on_peer_view(const mesh::View& v);
   void check_limits(size_t machines);  // engine's alone, without mutex_
   void share_writes();                 // under mutex_: by demand, as far as it is known
   bool alone(double now) const;        // no sibling answers, nor does the state service
@@ -113,13 +114,13 @@
   bool knows_cancellations(double now);  // under mutex_: may keep workers' leases alive
   // -- standing still: a process may stop in any line while its clocks run on. Nothing that was
   // read, decided or queued before counts until the lease has been asked for again.
-  void pulse_loop();
-  void notice_stall(double now);    // under mutex_: finds out that this process stood still
-  bool sure(double now);            // under mutex_: the lease was looked at since
-  bool acts(double now);            // under mutex_: leads without doubt, and may decide
-  bool doubts(double now);          // under mutex_: may still have cancelled work stopped
-  bool still_sure(uint64_t token);  // takes mutex_: right before something is sent
-  void nap(std::unique_lock<std::mutex>& lock, std::condition_variable& cv, double s);
+  void stall_check_loop();
+  void notice_stall(double now);     // under mutex_: finds out that this process stood still
+  bool lease_confirmed(double now);  // under mutex_: the lease was looked at since
+  bool acts(double now);             // under mutex_: leads without doubt, and may decide
+  bool doubts(double now);           // under mutex_: may still have cancelled work stopped
+  bool lease_still_confirmed(uint64_t token);  // takes mutex_: right before something is sent
+  void wait_for(std::unique_lock<std::mutex>& lock, std::condition_variable& cv, double s);
 
   Config config_;
   mutable std::mutex mutex_;
@@ -139,7 +140,7 @@
 
   // -- cancellations (core/cancellations.h)
   CancellationGate cancellation_gate_;  // under mutex_
-  CancellationHorizon horizon_;
+  CancellationStaleness cancellation_staleness_;
   double published_at_ = -1e9;
 
   ReadBarrier read_barrier_;  // locks for itself; never waited at while mutex_ is held
--- a/src/daemon/node_http.cpp
+++ b/src/daemon/node_http.cpp
@@ -24,7 +24,7 @@
 constexpr double kHealthPatience = 2;
 constexpr double kSlow = 0.2;  // an answer that took longer is logged
 // A leader in doubt answers with starts only if it lately had proof of all cancellations.
-constexpr double kFreshHorizon = 3;
+constexpr double kMaxStaleness = 3;
 constexpr double kTellPatience = 1.2;  // for the leader to hear of a cancellation
 
 void reply(httplib::Response& res, int status, const json& body) {
@@ -116,16 +116,17 @@
   std::unique_lock lock(mutex_);
   const MirrorJob* j = mirror_.job(id);
   if (!j || j->row.standing != Standing::aborted) return false;
-  const uint64_t stamp = j->stamp;
-  if (cancellation_gate_.is_known(id, stamp)) return true;
+  const uint64_t version = j->version;
+  if (cancellation_gate_.is_known(id, version)) return true;
   // Our own core took the row with the mirror. A leader that slept may be none any more.
   if (leads()) {
-    const bool ours = core_ && !core_->lost() && sure(steady_now()) && token_ >= known_token();
-    if (ours) cancellation_gate_.acknowledge(id, stamp);
+    const bool ours =
+        core_ && !core_->lost() && lease_confirmed(steady_now()) && token_ >= known_token();
+    if (ours) cancellation_gate_.acknowledge(id, version);
     return ours;
   }
   return cancellation_gate_.wait_until_known(
-      lock, id, stamp, leader, std::min(deadline - steady_now(), kTellPatience),
+      lock, id, version, leader, std::min(deadline - steady_now(), kTellPatience),
       [this] { return read_barrier_.failing() || mirror_.leader().empty(); });
 }
 
@@ -146,19 +147,20 @@
     return reply(res, 503, {{"error", "jobs may have been cancelled unheard"}});
   }
   // A leader that slept does not know yet whether it still is one: the worker goes on to another.
-  if (leads() && !sure(now)) {
+  if (leads() && !lease_confirmed(now)) {
     lock.unlock();
     return reply(res, 503, {{"error", "not sure to lead"}});
   }
   if (leads() && core_ && !core_->lost()) {
-    core_->allow_starts(role_ == Role::leading || now - horizon_.at() < kFreshHorizon);
+    core_->allow_starts(role_ == Role::leading ||
+                        now - cancellation_staleness_.at() < kMaxStaleness);
     const ReportReply out = core_->on_report(*r, now);
     if (out.verdict != ReportReply::Verdict::deposed) {
       const json answer = wire::report_answer(token_, out.orders);
-      const bool eager = core_->eager();
+      const bool wants_round = core_->wants_round();
       lock.unlock();
       commit_cv_.notify_one();
-      if (eager) engine_cv_.notify_one();
+      if (wants_round) engine_cv_.notify_one();
       return reply(res, 200, answer);
     }
     step_down(Role::follower, "a worker has seen a higher token");
@@ -191,7 +193,7 @@
     res.status = 404;
     return;
   }
-  if (const auto v = mesh::decode(req.body)) hear(*v);
+  if (const auto v = mesh::decode(req.body)) on_peer_view(*v);
   res.set_content(mesh::text(view()), "application/json");
 }
 
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -66,7 +66,7 @@
 
 json encode(const Cancelled& c) {
   json rows = json::array();
-  for (const Cancelled::Row& r : c.rows) rows.push_back(json::array({r.job, r.value, r.stamp}));
+  for (const Cancelled::Row& r : c.rows) rows.push_back(json::array({r.job, r.value, r.version}));
   return {{"token", c.token}, {"rows", std::move(rows)}};
 }
 
@@ -79,9 +79,9 @@
     if (!token) return std::nullopt;
     c.token = *token;
     for (const json& r : j.at("rows")) {
-      const auto stamp = revision(r.at(2));
-      if (!stamp) return std::nullopt;
-      c.rows.push_back({r.at(0).get<std::string>(), r.at(1), *stamp});
+      const auto version = revision(r.at(2));
+      if (!version) return std::nullopt;
+      c.rows.push_back({r.at(0).get<std::string>(), r.at(1), *version});
     }
     return c;
   } catch (const json::exception&) {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -39,7 +39,7 @@
   struct Row {
     std::string job;
     nlohmann::json value;
-    uint64_t stamp = 0;
+    uint64_t version = 0;
   };
   uint64_t token = 0;
   std::vector<Row> rows;
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -78,7 +78,7 @@
     } else if (got.row && got.row->value.is_object() && got.row->value.contains("w") &&
                got.row->value["w"] == t.mark) {
       r.outcome = Outcome::applied;
-      r.revision = got.row->stamp;
+      r.revision = got.row->version;
     }
     break;
   }
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -202,7 +202,7 @@
     s.id = *id;
   else
     error = "id";
-  name("lot", s.lot);
+  name("lot", s.job_class);
   name("crew", s.team);
   name("kit", s.image);
   std::string word;
@@ -335,7 +335,7 @@
   return {{"warrant", token}, {"orders", std::move(list)}};
 }
 
-json direct(uint64_t token, const Direct& d) {
+json direct(uint64_t token, const DirectCommand& d) {
   json out = report_answer(token, d.orders);
   out["tenure"] = d.session;
   return out;
@@ -386,7 +386,7 @@
   return out;
 }
 
-json hire(const Hire& h) {
+json rent(const RentalRequest& h) {
   return {{"hire", h.name},
           {"breed", h.type},
           {"yard", h.zone},
@@ -451,7 +451,7 @@
 json transaction(const ledger::Transaction& t) {
   json conditions = json::array(), changes = json::array();
   for (const ledger::Condition& c : t.conditions)
-    conditions.push_back({{"k", c.key}, {"stamp", c.stamp}});
+    conditions.push_back({{"k", c.key}, {"stamp", c.version}});
   for (const ledger::Change& c : t.changes) {
     if (c.erase) {
       changes.push_back({{"delete", c.key}});
@@ -476,12 +476,12 @@
 
 std::optional<Row> parse_row(const json& b) {
   const json* k = field(b, "k");
-  const auto stamp = whole(b, "stamp");
-  if (!k || !k->is_string() || !stamp) return std::nullopt;
+  const auto version = whole(b, "stamp");
+  if (!k || !k->is_string() || !version) return std::nullopt;
   Row r;
   r.key = k->get<std::string>();
   if (const json* v = field(b, "v")) r.value = *v;
-  r.stamp = *stamp;
+  r.version = *version;
   return r;
 }
 
@@ -510,9 +510,9 @@
   if (!list->is_array()) return std::nullopt;
   for (const json& e : *list) {
     Row r;
-    const auto stamp = whole(e, "stamp");
-    if (!stamp) return std::nullopt;
-    r.stamp = *stamp;
+    const auto version = whole(e, "stamp");
+    if (!version) return std::nullopt;
+    r.version = *version;
     if (const json* k = field(e, "write"); k && k->is_string()) {
       r.key = k->get<std::string>();
       if (const json* v = field(e, "v")) r.value = *v;
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -36,12 +36,12 @@
 std::optional<Report> parse_report(const json& body);
 json report_answer(uint64_t token, const std::vector<Order>& orders);
 inline constexpr const char* kDirect = "/do";
-json direct(uint64_t token, const Direct& d);
+json direct(uint64_t token, const DirectCommand& d);
 json redirect(const std::string& leader_label);  // empty: no leader known
 
 // Cloud.
 std::optional<std::vector<TypeInfo>> parse_types(const json& body);
-json hire(const Hire& h);
+json rent(const RentalRequest& h);
 std::optional<std::vector<std::string>> parse_hired(const json& body);
 json give_back(const std::vector<std::string>& names);
 std::string list_path(const std::string& after, int most);
@@ -51,7 +51,7 @@
 struct Row {
   std::string key;
   json value;
-  uint64_t stamp = 0;
+  uint64_t version = 0;
   bool erased = false;
 };
 struct Rows {
--- a/tests/checker.cpp
+++ b/tests/checker.cpp
@@ -242,22 +242,22 @@
   std::map<std::string, std::vector<const JobTruth*>> classes;
   for (const auto& [id, j] : jobs_) {
     if (j.spec.id.empty() || j.cancel_asked) continue;
-    classes[j.spec.lot].push_back(&j);
-    for (const std::string& key : {"class " + j.spec.lot, "team " + j.spec.team}) {
+    classes[j.spec.job_class].push_back(&j);
+    for (const std::string& key : {"class " + j.spec.job_class, "team " + j.spec.team}) {
       ++shares[key].jobs;
       shares[key].done += j.done.size() >= j.spec.tasks;
     }
   }
-  for (auto& [lot, jobs] : classes) {
+  for (auto& [job_class, jobs] : classes) {
     uint32_t most = 0;
     for (const JobTruth* j : jobs) most = std::max(most, j->spec.tasks);
     for (const JobTruth* j : jobs) {
       if (j->spec.tasks < most) continue;
-      Share& s = shares["the largest of " + lot];
+      Share& s = shares["the largest of " + job_class];
       ++s.jobs;
       s.done += j->done.size() >= j->spec.tasks;
       if (j->begun_at < 0 || j->begun_at > j->submitted_at + begin_within_s)
-        out.push_back(j->spec.id + ", of the largest of " + lot + ", began at " +
+        out.push_back(j->spec.id + ", of the largest of " + job_class + ", began at " +
                       std::to_string(j->begun_at));
     }
   }
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -304,12 +304,12 @@
     j.spec = job("wk-000001");
     j.run_s = 1000;
     world.checker.submitted(0, j.spec);
-    Hire h;
+    RentalRequest h;
     h.name = "one";
     h.type = "box";
     h.zone = "a";
     h.count = 1;
-    machine = world.workers.at(world.hire(h).names.at(0)).get();
+    machine = world.workers.at(world.rent(h).names.at(0)).get();
     world.clock.run(5);
   }
   void cancelled() { world.checker.told(world.clock.now, "wk-000001", "aborted", true); }
@@ -647,9 +647,9 @@
 // within the time.
 TEST_F(CheckerTest, Shares) {
   JobSpec small = job("wk-000002"), large = job("wk-000003"), other = job("wk-000004");
-  small.lot = large.lot = "x";
+  small.job_class = large.job_class = "x";
   large.tasks = 4;
-  other.lot = "y";
+  other.job_class = "y";
   for (const JobSpec& s : {small, large, other}) checker.submitted(0, s);
   const auto finish = [&](const JobSpec& s) {
     for (uint32_t t = 0; t < s.tasks; ++t) checker.completed(s.id, t);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -96,7 +96,7 @@
   EXPECT_DOUBLE_EQ(a.start_spare, b.start_spare);
   EXPECT_DOUBLE_EQ(a.lull_s, b.lull_s);
   EXPECT_DOUBLE_EQ(a.drain_deadline_s, b.drain_deadline_s);
-  EXPECT_DOUBLE_EQ(a.hire_every_s, b.hire_every_s);
+  EXPECT_DOUBLE_EQ(a.rent_every_s, b.rent_every_s);
   EXPECT_DOUBLE_EQ(a.refusal_s, b.refusal_s);
   EXPECT_DOUBLE_EQ(a.boot_patience, b.boot_patience);
   EXPECT_DOUBLE_EQ(a.silence_s, b.silence_s);
--- a/tests/core_guards_test.cpp
+++ b/tests/core_guards_test.cpp
@@ -26,9 +26,9 @@
  protected:
   CoreGuards() : core(bare_settings(), {bare_type()}, kToken, 0) {}
 
-  static MirrorJob job_row(uint32_t tasks, uint64_t stamp) {
+  static MirrorJob job_row(uint32_t tasks, uint64_t version) {
     MirrorJob job;
-    job.stamp = stamp;
+    job.version = version;
     job.row.tasks = job.row.per = tasks;
     job.row.spec = JobSpec{};
     job.row.spec->team = "team";
@@ -78,7 +78,7 @@
                                              [](const Order& o) { return o.verb == Verb::run; }));
   }
   size_t direct_runs(double now) {
-    const auto d = core.next_direct(now);
+    const auto d = core.next_direct_command(now);
     return d ? runs(d->orders) : 0;
   }
   const Machine& m1() const { return *core.machines().at(0); }
@@ -115,11 +115,11 @@
   core.on_report(report(1, 5), 1);
   submit("wk-000001", 1);
   start_all(1);
-  const auto d = core.next_direct(1);
+  const auto d = core.next_direct_command(1);
   ASSERT_TRUE(d);
   ASSERT_EQ(runs(d->orders), 1u);
   core.on_report(report(2, 1), 2);
-  core.on_direct(*d, true, report(1, 6, {task("wk-000001", Seen::pulling)}), 3);
+  core.on_direct_command_result(*d, true, report(1, 6, {task("wk-000001", Seen::pulling)}), 3);
   EXPECT_EQ(m1().seq, 1u);
   EXPECT_EQ(core.on_report(report(2, 2), 4).verdict, ReportReply::Verdict::taken);
   EXPECT_DOUBLE_EQ(m1().last_report, 4);
@@ -131,7 +131,7 @@
   core.on_report(report(1, 1), 1);
   submit("wk-000001", 1);
   start_all(1);
-  const auto d = core.next_direct(1);
+  const auto d = core.next_direct_command(1);
   ASSERT_TRUE(d);
   core.on_report(report(1, 3, {task("wk-000001", Seen::running)}), 2);
   submit("wk-000002", 2);
@@ -141,7 +141,7 @@
   core.on_report(report(1, 5, {task("wk-000001", Seen::running), task("wk-000002", Seen::running)}),
                  4);
   ASSERT_EQ(state_of_task("wk-000002"), AttemptState::running);
-  core.on_direct(*d, true, report(1, 2, {task("wk-000001", Seen::pulling)}), 5);
+  core.on_direct_command_result(*d, true, report(1, 2, {task("wk-000001", Seen::pulling)}), 5);
   EXPECT_EQ(core.on_report(before, 6).verdict, ReportReply::Verdict::old);
   EXPECT_EQ(state_of_task("wk-000002"), AttemptState::running);
 }
@@ -193,7 +193,7 @@
                 core.on_machine_list(
                     {{"m-1", "", "box", "a", false, ListedMachine::State::failed, 10}}, 5, 5);
               }).empty());
-  EXPECT_EQ(m1().state, MachineState::condemned);
+  EXPECT_EQ(m1().state, MachineState::terminating);
 }
 
 // The worker lost its lease: a start under its earlier session would be ended by its next report.
@@ -222,7 +222,8 @@
 
 // A start that was committed for an earlier session, ordered in a later one: the next report of
 // that session would prove the attempt over while its task runs, and it would start elsewhere.
-// `Core::settle_page` stops it, and `Core::next_direct` compares the sessions: either suffices.
+// `Core::settle_page` stops it, and `Core::next_direct_command` compares the sessions: either
+// suffices.
 TEST_F(CoreGuards, AStartCommittedForAnEarlierSessionIsNotOrdered) {
   core.on_report(report(1, 1), 1);
   submit("wk-000001", 1);
@@ -290,7 +291,7 @@
   }
   static nlohmann::json text(const ledger::Transaction& t) {
     nlohmann::json j = {{"mark", t.mark}};
-    for (const auto& c : t.conditions) j["if"].push_back({c.key, c.stamp});
+    for (const auto& c : t.conditions) j["if"].push_back({c.key, c.version});
     for (const auto& c : t.changes) j["then"].push_back({c.key, c.value});
     return j;
   }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -330,19 +330,19 @@
   const std::vector<nlohmann::json> shapes = {
       nullptr, 3, -1, 1e300, NAN, "x", true, {1, "a", {}}, {{"label", 3}}, {{"e", 3}}};
   Mirror m;
-  uint64_t stamp = 0;
+  uint64_t version = 0;
   for (const nlohmann::json& v : shapes)
     for (const char* key : {"rd/leader", "rd/types", "rd/j/", "rd/j/x", "rd/t/", "rd/t/x", "rd/t/0",
                             "rd/t/4294967295", "rd/t/99999999999", "rd/f/", "rd/f/x", "rd/f/0",
                             "rd/f/99999999999999999999", "rd/", ""})
-      EXPECT_NO_THROW(m.put(key, v, ++stamp)) << key << " = " << v;
+      EXPECT_NO_THROW(m.put(key, v, ++version)) << key << " = " << v;
   EXPECT_EQ(m.leader(), "");
   EXPECT_TRUE(m.types().empty());
   EXPECT_FALSE(m.answer("x"));
   TypeInfo type;
   type.name = "box";
   type.size = {16, 4, 64};
-  Core core(Settings{}, {type}, stamp + 1, 0);
+  Core core(Settings{}, {type}, version + 1, 0);
   EXPECT_NO_THROW(core.load(m, 0));
   EXPECT_NO_THROW(core.round(1));
 }
@@ -403,7 +403,7 @@
   while (const auto p = core.next_transaction(1)) {
     if (p->txn.changes.at(0).key != "rd/t/0") continue;
     written = true;
-    EXPECT_EQ(p->txn.conditions.at(1).stamp, 4u);
+    EXPECT_EQ(p->txn.conditions.at(1).version, 4u);
   }
   EXPECT_TRUE(written);
 }
@@ -454,9 +454,9 @@
   return r;
 }
 
-MirrorJob one_task(uint64_t stamp) {
+MirrorJob one_task(uint64_t version) {
   MirrorJob job;
-  job.stamp = stamp;
+  job.version = version;
   job.row.tasks = job.row.per = 1;
   job.row.spec = JobSpec{};
   job.row.spec->team = "t";
@@ -493,7 +493,7 @@
   core.on_job_row(row, "wk-000001", 1);
   ASSERT_TRUE(core.find_job("wk-000001"));
   MirrorJob over = row;
-  over.stamp = 5;
+  over.version = 5;
   over.row.standing = ledger::Standing::aborted;
   core.on_job_row(over, "wk-000001", 2);
   EXPECT_FALSE(core.find_job("wk-000001"));
@@ -502,7 +502,7 @@
 }
 
 // Under a load that never leaves the committer idle the rented list is written all the same: a
-// successor that reads an old one counts machines that are gone, and hires none in their place.
+// successor that reads an old one counts machines that are gone, and rents none in their place.
 TEST(Core, TheRentedListIsWrittenUnderLoad) {
   Core core = one_zone_core();
   Report r = report_of_m1();
@@ -545,13 +545,13 @@
   r.tasks = {{"wk-000009", 0, 1, Seen::running, Cause::none, false}};
   EXPECT_TRUE(core.on_report(r, 1).orders.empty());
   EXPECT_EQ(core.machines().at(0)->state, MachineState::booting);
-  EXPECT_FALSE(core.machines().at(0)->heard);
-  EXPECT_LT(core.machines().at(0)->recall_at, 0);
+  EXPECT_FALSE(core.machines().at(0)->registered);
+  EXPECT_LT(core.machines().at(0)->reclaim_at, 0);
   r.token = 7;
   r.seq = 5;
   r.notice_s = -1;
   EXPECT_EQ(core.on_report(r, 2).orders.size(), 1u);  // what the ledger does not know is stopped
-  EXPECT_TRUE(core.machines().at(0)->heard);
+  EXPECT_TRUE(core.machines().at(0)->registered);
   r.seq = 4;
   EXPECT_EQ(core.on_report(r, 9).verdict, ReportReply::Verdict::old);
   EXPECT_DOUBLE_EQ(core.machines().at(0)->last_report, 2);
@@ -604,11 +604,11 @@
   for (Core* c : {&slept, &other})
     for (int i = 0; i < 10; ++i) c->on_report(bare_report(i, 1, 7), 1);
   slept.slept(40, 41);
-  EXPECT_FALSE(slept.deaf(41.1));
-  EXPECT_TRUE(other.deaf(41.1));
+  EXPECT_FALSE(slept.receives_no_reports(41.1));
+  EXPECT_TRUE(other.receives_no_reports(41.1));
   slept.round(41.1);
   for (int i = 0; i < 10; ++i) EXPECT_EQ(state_of(slept, i), MachineState::ready);
-  EXPECT_TRUE(slept.deaf(60));  // what is silent from then on is silent
+  EXPECT_TRUE(slept.receives_no_reports(60));  // what is silent from then on is silent
 }
 
 // Reports that a cut held back come together, all with an older token: they do not show a machine
@@ -622,7 +622,7 @@
   for (uint64_t seq = 7; seq <= 9; ++seq)
     core.on_report(bare_report(0, seq, 3), 10 + 5.0 * static_cast<double>(seq - 6));
   core.round(26);
-  EXPECT_EQ(state_of(core, 0), MachineState::condemned);
+  EXPECT_EQ(state_of(core, 0), MachineState::terminating);
 }
 
 // A machine that the cloud lists as running before it was ever heard has only just come up.
@@ -635,7 +635,7 @@
   core.round(61);
   EXPECT_EQ(state_of(core, 0), MachineState::booting);
   core.round(61 + 40);
-  EXPECT_EQ(state_of(core, 0), MachineState::condemned);
+  EXPECT_EQ(state_of(core, 0), MachineState::terminating);
 }
 
 // Many that fall silent together are waited for as long as replacing them would take, a few are
@@ -650,7 +650,7 @@
       for (int i = seq > 4 ? silent : 0; i < 120; ++i) core.on_report(bare_report(i, seq, 7), now);
       core.round(now);
       if (now < 40 || now > 60) continue;
-      EXPECT_EQ(state_of(core, 0), silent == 2 ? MachineState::condemned : MachineState::ready);
+      EXPECT_EQ(state_of(core, 0), silent == 2 ? MachineState::terminating : MachineState::ready);
     }
     EXPECT_EQ(state_of(core, 119), MachineState::ready);
   }
@@ -659,21 +659,21 @@
 TEST(LeaseClock, WhatWasKnownBeforeASleepCountsForNothing) {
   LeaseClock v(100);
   v.kept(100.1);
-  EXPECT_TRUE(v.sure(100.5, 2.5));
+  EXPECT_TRUE(v.lease_confirmed(100.5, 2.5));
   EXPECT_EQ(v.stall(100.6), 0);
   EXPECT_EQ(v.stall(101.5), 0);
   // An outage: renewals fail, and the process lives through it. Doubt, but not of its own making.
   v.asked(102);
   EXPECT_EQ(v.stall(102.4), 0);
   EXPECT_FALSE(v.runs(103, 2.5));
-  EXPECT_TRUE(v.sure(103, 2.5));
+  EXPECT_TRUE(v.lease_confirmed(103, 2.5));
   // It stands still: nothing is sure until the lease has been asked for again.
   EXPECT_NEAR(v.stall(130), 27.6, 1e-9);
-  EXPECT_FALSE(v.sure(130, 2.5));
+  EXPECT_FALSE(v.lease_confirmed(130, 2.5));
   v.asked(129);  // an answer to what was sent before it woke
-  EXPECT_FALSE(v.sure(130.1, 2.5));
+  EXPECT_FALSE(v.lease_confirmed(130.1, 2.5));
   v.asked(130.05);
-  EXPECT_TRUE(v.sure(130.2, 2.5));
+  EXPECT_TRUE(v.lease_confirmed(130.2, 2.5));
   v.kept(130.3);
   EXPECT_TRUE(v.runs(132, 2.5));
 }
@@ -698,12 +698,12 @@
   EXPECT_EQ(returned_at(-100, 109), none);
 }
 
-// In doubt, only machines that keep cancelled work are returned, whatever else is condemned.
+// In doubt, only machines that keep cancelled work are returned, whatever else is terminating.
 TEST(Core, ALeaderInDoubtReturnsCancelledWorkAlone) {
   Core core(bare_settings(), {bare_type()}, 7, 0);
   core.load(with_a_task_on_m1(ledger::Standing::open, 1), 0);
   core.on_machine_list({{"m-1", "h:1", "box", "a", false, ListedMachine::State::failed, 10}}, 0, 1);
-  EXPECT_EQ(state_of(core, 1), MachineState::condemned);
+  EXPECT_EQ(state_of(core, 1), MachineState::terminating);
   EXPECT_TRUE(core.next_return(2, true).empty());
   EXPECT_EQ(core.next_return(2).size(), 1u);
 }
@@ -731,7 +731,7 @@
     if (p->txn.changes.at(0).key != "rd/t/0") continue;
     started = true;
     std::map<std::string, uint64_t> conditions;
-    for (const auto& c : p->txn.conditions) conditions[c.key] = c.stamp;
+    for (const auto& c : p->txn.conditions) conditions[c.key] = c.version;
     EXPECT_EQ(conditions, (std::map<std::string, uint64_t>{
                               {"rd/leader", 7}, {"rd/t/0", 4}, {"rd/j/wk-000001", 3}}));
   }
@@ -752,7 +752,7 @@
   EXPECT_EQ(state_of(core, 1), MachineState::ready);  // nothing cancelled is on it
   core.round(4);
   core.round(13);
-  EXPECT_EQ(state_of(core, 1), MachineState::condemned);
+  EXPECT_EQ(state_of(core, 1), MachineState::terminating);
 }
 
 // A user hears of a cancellation only once a leader is known to know it.
@@ -772,8 +772,8 @@
   EXPECT_TRUE(known.has("wk-000002", 20));
 }
 
-TEST(CancellationHorizon, AllSiblingsTogetherProveAsTheLedgerDoes) {
-  CancellationHorizon h({"n1", "n2"});
+TEST(CancellationStaleness, AllSiblingsTogetherProveAsTheLedgerDoes) {
+  CancellationStaleness h({"n1", "n2"});
   constexpr uint64_t kOurs = 7;
   const auto vouch = [&](const char* who, const char* process, uint64_t token, double sent) {
     h.vouched(who, process, token, kOurs, sent, sent + 0.1);
@@ -791,8 +791,8 @@
   EXPECT_EQ(h.at(), 20);  // one knows of a newer leader
 }
 
-TEST(CancellationHorizon, ARestartedSiblingProvesNothingOfItsPredecessor) {
-  CancellationHorizon h({"n1", "n2"});
+TEST(CancellationStaleness, ARestartedSiblingProvesNothingOfItsPredecessor) {
+  CancellationStaleness h({"n1", "n2"});
   constexpr uint64_t kOurs = 7;
   h.vouched("n1", "a", 7, kOurs, 8, 8.1);
   h.vouched("n2", "b", 7, kOurs, 8, 8.1);
@@ -813,17 +813,17 @@
 }
 
 // Nobody else confirms cancellations there, so an outage of any length costs no work.
-TEST(CancellationHorizon, TheOnlyControllersProofIsNeverOutOfDate) {
-  const CancellationHorizon only = CancellationHorizon::of_only_controller();
-  EXPECT_LT(1e6 - only.at(), horizon_limit(38, 18));
-  const CancellationHorizon unheard({"n1"});
-  EXPECT_GT(1e6 - unheard.at(), horizon_limit(38, 18));
+TEST(CancellationStaleness, TheOnlyControllersProofIsNeverOutOfDate) {
+  const CancellationStaleness only = CancellationStaleness::of_only_controller();
+  EXPECT_LT(1e6 - only.at(), staleness_limit(38, 18));
+  const CancellationStaleness unheard({"n1"});
+  EXPECT_GT(1e6 - unheard.at(), staleness_limit(38, 18));
 }
 
-TEST(CancellationHorizon, LeasesEndWithinTheTimeToCancel) {
+TEST(CancellationStaleness, LeasesEndWithinTheTimeToCancel) {
   for (const auto& [cancel, lease] : {std::pair{38.0, 18.0}, {46.5, 26.5}, {59.0, 29.0}})
-    EXPECT_LT(horizon_limit(cancel, lease) + lease * 1.0005, cancel * 0.9995);
-  EXPECT_GT(horizon_limit(20, 20), 0);
+    EXPECT_LT(staleness_limit(cancel, lease) + lease * 1.0005, cancel * 0.9995);
+  EXPECT_GT(staleness_limit(20, 20), 0);
 }
 
 }  // namespace
--- a/tests/core_troubles_test.cpp
+++ b/tests/core_troubles_test.cpp
@@ -42,7 +42,7 @@
   void submit(const std::string& id, uint32_t tasks, double gpus, double run_s,
               const std::string& team = "team") {
     MirrorJob job;
-    job.stamp = ++revision_;
+    job.version = ++revision_;
     job.row.tasks = job.row.per = tasks;
     job.row.spec = JobSpec{};
     job.row.spec->team = team;
@@ -54,7 +54,7 @@
   }
   void cancel(const std::string& id) {
     MirrorJob& job = rows_.at(id);
-    job.stamp = ++revision_;
+    job.version = ++revision_;
     job.row.standing = ledger::Standing::aborted;
     core.on_job_row(job, id, now);
   }
@@ -135,7 +135,7 @@
   submit("wk-000001", 48, 4, -2);
   run_until(60);
   const size_t at_first = starts["wk-000001"];
-  submit("wk-000002", 48, 4, -2);  // errors of two jobs in a row condemn a machine otherwise
+  submit("wk-000002", 48, 4, -2);  // errors of two jobs in a row terminate a machine otherwise
   run_until(300);
   EXPECT_GE(starts["wk-000001"], at_first + 3);  // its mistake may be mended any time
   for (const auto& m : core.machines()) {
@@ -255,10 +255,10 @@
   const std::set<std::string> never_up = {"m-1", "m-2"};
   while (now < 400) {
     run_until(now + 1);
-    while (auto h = core.next_hire(now)) {
+    while (auto h = core.next_rental_request(now)) {
       std::vector<std::string> names;
       for (int i = 0; i < h->count; ++i) names.push_back("m-" + std::to_string(rented++));
-      core.on_hire(*h, CloudOutcome::done, names, now);
+      core.on_rental_result(*h, CloudOutcome::done, names, now);
     }
     const auto names = core.next_return(now);
     returned.insert(names.begin(), names.end());
@@ -267,7 +267,7 @@
     if (now == 60) at_first = rented;
     if (now == 60 || now == 180)
       for (const auto& m : core.machines())
-        if (!never_up.count(m->name) && !m->heard) add_machine(std::stoi(m->name.substr(2)));
+        if (!never_up.count(m->name) && !m->registered) add_machine(std::stoi(m->name.substr(2)));
   }
   EXPECT_EQ(at_first, 5u);  // one to spare
   EXPECT_EQ(rented, 6u);
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -140,9 +140,9 @@
       longest_ = std::max(longest_, changes.size());
       for (const auto& e : changes) {
         if (e.erased)
-          log.push_back({{"delete", e.key}, {"stamp", e.stamp}});
+          log.push_back({{"delete", e.key}, {"stamp", e.version}});
         else
-          log.push_back({{"write", e.key}, {"v", e.value}, {"stamp", e.stamp}});
+          log.push_back({{"write", e.key}, {"v", e.value}, {"stamp", e.version}});
       }
       put(r, 200, {{"ledger", store_.revision}, {"log", log}});
     } else if (path == "/keys") {
@@ -152,14 +152,14 @@
       const auto all = store_.rows_after(unescape(param("after")));
       for (const auto& [k, e] : all) {
         if (rows.size() == most) break;
-        rows.push_back({{"k", k}, {"v", e.value}, {"stamp", e.stamp}});
+        rows.push_back({{"k", k}, {"v", e.value}, {"stamp", e.version}});
       }
       const bool more = rows.size() < all.size();
       put(r, 200, {{"rows", std::move(rows)}, {"truncated", more}, {"ledger", store_.revision}});
     } else if (path.rfind("/keys/", 0) == 0) {
       const auto* e = store_.get(path.substr(6));
       if (e)
-        put(r, 200, {{"k", path.substr(6)}, {"v", e->value}, {"stamp", e->stamp}});
+        put(r, 200, {{"k", path.substr(6)}, {"v", e->value}, {"stamp", e->version}});
       else
         put(r, 404, {{"ledger", store_.revision}});
     } else if (path == "/leases") {
@@ -207,7 +207,7 @@
     nodes_ = std::move(nodes);
     known_.notify_all();
   }
-  size_t hired() {
+  size_t rented() {
     std::lock_guard lock(mutex_);
     return names_.size();
   }
@@ -252,7 +252,7 @@
   void work(const std::string& name, bool spot) {
     std::map<std::string, json> tasks;
     uint64_t token = 0, tally = 0;
-    // Machines may be hired before the nodes' ports are known here.
+    // Machines may be rented before the nodes' ports are known here.
     std::map<std::string, int> nodes;
     {
       std::unique_lock lock(mutex_);
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -44,7 +44,7 @@
   EXPECT_EQ(status, 200);
   EXPECT_EQ(cancelled.at("standing"), "done");
   EXPECT_EQ(standing(a(), "wk-000077"), "404");
-  EXPECT_GE(cloud.hired(), 1u);
+  EXPECT_GE(cloud.rented(), 1u);
 }
 
 TEST_F(Loopback, WhatCannotBeTakenIsRefused) {
@@ -105,7 +105,7 @@
   }));
   const auto* row = state.row(ledger::kReadToKey);
   ASSERT_TRUE(row);
-  EXPECT_GE(row->value.get<uint64_t>(), state.row(ledger::job_key("wk-000003"))->stamp);
+  EXPECT_GE(row->value.get<uint64_t>(), state.row(ledger::job_key("wk-000003"))->version);
   EXPECT_EQ(standing(a(), "wk-000003"), "aborted");
   EXPECT_EQ(standing(b(), "wk-000003"), "aborted");
 }
@@ -374,7 +374,7 @@
   server.halt();
 }
 
-// A hire or a return is not sent by a node that is not sure any more to lead.
+// A rental request or a return is not sent by a node that is not certain any more to lead.
 TEST(Cloud, NothingIsSentByOneThatMayLeadNoMore) {
   std::atomic<int> asked{0};
   net::Server server({"127.0.0.1", 0}, 4, 4, 65536,
@@ -386,11 +386,11 @@
   {
     net::Budget budget(100);
     cloud::Client client({"127.0.0.1", server.port()}, budget);
-    const Hire hire{"h-1", "box", "a", false, 1};
-    EXPECT_EQ(client.hire(hire, [] { return false; }).outcome, CloudOutcome::refused);
+    const RentalRequest request{"h-1", "box", "a", false, 1};
+    EXPECT_EQ(client.rent(request, [] { return false; }).outcome, CloudOutcome::refused);
     EXPECT_EQ(client.give_back({"m-1"}, [] { return false; }), CloudOutcome::refused);
     EXPECT_EQ(asked, 0);
-    EXPECT_EQ(client.hire(hire, [] { return true; }).machines.size(), 1u);
+    EXPECT_EQ(client.rent(request, [] { return true; }).machines.size(), 1u);
     EXPECT_EQ(client.give_back({"m-1"}, [] { return true; }), CloudOutcome::done);
     EXPECT_EQ(asked, 2);
   }
@@ -408,15 +408,15 @@
   {
     net::Budget budget(1000);
     cloud::Client client({"127.0.0.1", server.port()}, budget);
-    const Hire hire{"h-1", "box", "a", false, 1};
+    const RentalRequest request{"h-1", "box", "a", false, 1};
     status = 503;
     answer = {{"error", 3}};
-    EXPECT_EQ(client.hire(hire, {}).outcome, CloudOutcome::refused);
+    EXPECT_EQ(client.rent(request, {}).outcome, CloudOutcome::refused);
     status = 200;
     answer = {{"crofts", "m-1"}};
-    EXPECT_EQ(client.hire(hire, {}).outcome, CloudOutcome::unknown);
+    EXPECT_EQ(client.rent(request, {}).outcome, CloudOutcome::unknown);
     answer = {{"crofts", {"m-1", "", 3, std::string(300, 'x')}}};
-    EXPECT_EQ(client.hire(hire, {}).machines, std::vector<std::string>{"m-1"});
+    EXPECT_EQ(client.rent(request, {}).machines, std::vector<std::string>{"m-1"});
     // A list that says it goes on, and never does, is no list.
     answer = {{"crofts", {{{"id", "m-1"}}}}, {"truncated", true}};
     EXPECT_FALSE(client.list());
@@ -564,7 +564,7 @@
     EXPECT_EQ(heard->token, 7u);
     ASSERT_EQ(heard->rows.size(), 1u);
     EXPECT_EQ(heard->rows[0].job, "wk-000001");
-    EXPECT_EQ(heard->rows[0].stamp, 12u);
+    EXPECT_EQ(heard->rows[0].version, 12u);
     for (const char* bad : {"", "[]", "7", R"({"token":"9"})", R"({"token":-1})", "{}"}) {
       answer = bad;
       EXPECT_FALSE(peer.tell({7, {}})) << bad;
--- a/tests/rented_list_test.cpp
+++ b/tests/rented_list_test.cpp
@@ -71,10 +71,10 @@
   const ledger::Transaction first = write(1);
   ASSERT_EQ(first.conditions.size(), 1u);
   EXPECT_EQ(first.conditions[0].key, ledger::fleet_key(0));
-  EXPECT_EQ(first.conditions[0].stamp, 0u) << "it must not exist yet";
+  EXPECT_EQ(first.conditions[0].version, 0u) << "it must not exist yet";
   settle(first, ledger::Outcome::applied, 12);
   list_.mark_changed(0);
-  EXPECT_EQ(write(5).conditions.at(0).stamp, 12u);
+  EXPECT_EQ(write(5).conditions.at(0).version, 12u);
 }
 
 TEST_F(RentedListTest, OneWriteAtATimeAndNoMoreOftenThanEveryFourSeconds) {
@@ -97,7 +97,7 @@
   EXPECT_TRUE(list_.can_write(5));
   const ledger::Transaction again = write(5);
   ASSERT_EQ(again.changes.size(), 1u);
-  EXPECT_EQ(again.conditions.at(0).stamp, 0u);
+  EXPECT_EQ(again.conditions.at(0).version, 0u);
   settle(again, ledger::Outcome::applied, 12);
   EXPECT_FALSE(list_.can_write(9));
 }
@@ -140,7 +140,7 @@
   ledger::Transaction own;
   successor.write(
       2, 8, [](Index) { return std::nullopt; }, types_, zones_, own);
-  EXPECT_EQ(own.conditions.at(0).stamp, 12u);
+  EXPECT_EQ(own.conditions.at(0).version, 12u);
 }
 
 TEST_F(RentedListTest, EntriesOfAnyShapeAreOutlived) {
@@ -159,7 +159,8 @@
   EXPECT_EQ(zones_.name(machines[1].zone), "north");
   const ledger::Transaction transaction = write(1);
   ASSERT_EQ(transaction.conditions.size(), 3u);
-  EXPECT_EQ(transaction.conditions[1].stamp, 4u) << "a row that cannot be read keeps its revision";
+  EXPECT_EQ(transaction.conditions[1].version, 4u)
+      << "a row that cannot be read keeps its revision";
 }
 
 }  // namespace
--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -335,7 +335,7 @@
     if (what == "submit") {
       JobSpec s;
       s.id = word(w, 3, line);
-      s.lot = "lot";
+      s.job_class = "lot";
       s.team = settings_.teams[0].name;
       s.shape = word(w, 4, line) == "gang" ? Shape::gang : Shape::array;
       s.tasks = static_cast<uint32_t>(number(w, 5, line));
@@ -352,7 +352,7 @@
         } else if (w[i] == "zone") {
           s.zone = word(w, i + 1, line);
         } else if (w[i] == "lot") {
-          s.lot = word(w, i + 1, line);
+          s.job_class = word(w, i + 1, line);
         } else if (w[i] == "team") {
           s.team = word(w, i + 1, line);
         } else if (w[i] == "rank") {
@@ -554,7 +554,7 @@
     if (what == "machines" || what == "hires" || what == "returns") {
       const double n = number(w, 3, line);
       const auto is = static_cast<double>(what == "machines"        ? world_->machines_up()
-                                          : what == "hires"         ? world_->hires
+                                          : what == "hires"         ? world_->rentals
                                           : returns_at_.count(line) ? returns_at_.at(line)
                                                                     : world_->returns);
       if (w[2] == "at_most" ? is > n : is < n) miss(std::to_string(is));
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -14,7 +14,7 @@
 namespace {
 constexpr double kLeaseTtl = 2.5;
 constexpr double kMaxDoubt = 60;
-constexpr double kFreshHorizon = 3;
+constexpr double kMaxStaleness = 3;
 constexpr double kWire = 0.005;
 // As the daemon's: an answer to a poll or a submission is refused that much after the question.
 constexpr double kPollTooLate = 2, kSubmitTooLate = 4;
@@ -57,7 +57,7 @@
   ++transactions;
   for (const ledger::Condition& c : t.conditions) {
     auto it = rows_.find(c.key);
-    if ((it == rows_.end() ? 0 : it->second.stamp) != c.stamp) r.failed.push_back(c.key);
+    if ((it == rows_.end() ? 0 : it->second.version) != c.version) r.failed.push_back(c.key);
   }
   if (!r.failed.empty()) {
     r.outcome = Outcome::conflict;
@@ -126,7 +126,7 @@
 
 std::vector<Store::Event> Store::since(uint64_t rev) const {
   auto it = std::partition_point(log_.begin(), log_.end(),
-                                 [&](const Event& e) { return e.stamp <= rev; });
+                                 [&](const Event& e) { return e.version <= rev; });
   return {it, log_.end()};
 }
 
@@ -138,7 +138,7 @@
 // ---------------------------------------------------------------- worker
 
 Worker::Worker(World& w, std::string n, TypeInfo t, std::string z, bool s)
-    : hired_at(w.clock.now),
+    : rented_at(w.clock.now),
       name(std::move(n)),
       zone(std::move(z)),
       type(std::move(t)),
@@ -390,7 +390,7 @@
   }
 }
 
-// A direct order: executed as long as token and session match, however late it comes.
+// A direct command: executed as long as token and session match, however late it comes.
 std::optional<Report> Worker::direct(uint64_t token, uint64_t session,
                                      const std::vector<Order>& orders) {
   if (gone || !up || w_.clock.now < deaf_until) return std::nullopt;
@@ -416,7 +416,7 @@
   World::UserJob& j = w_.jobs.at(job);
   images_.insert(j.spec.image);
   on_machine(job, task, true);
-  if (w_.clock.now - hired_at < 2) w_.meet("started_within_two_seconds");
+  if (w_.clock.now - rented_at < 2) w_.meet("started_within_two_seconds");
   ++j.starts;
   if (j.first_start < 0) j.first_start = w_.clock.now;
   const auto key = std::make_pair(job, task);
@@ -495,10 +495,10 @@
   std::vector<std::string> siblings;
   for (const auto& n : w_.nodes)
     if (n.get() != this) siblings.push_back(n->label_);
-  horizon_ = w_.nodes.size() == 1 ? CancellationHorizon::of_only_controller()
-                                  : CancellationHorizon(std::move(siblings));
+  cancellation_staleness_ = w_.nodes.size() == 1 ? CancellationStaleness::of_only_controller()
+                                                 : CancellationStaleness(std::move(siblings));
   highest_token_ = 0;
-  pulse();
+  stall_check();
   watch();
   lead();
   round();
@@ -516,26 +516,27 @@
   });
 }
 
-// As the daemon's (Node::notice_stall, Node::sure).
-bool SimNode::sure() {
+// As the daemon's (Node::notice_stall, Node::lease_confirmed).
+bool SimNode::lease_confirmed() {
   const double still = lease_clock_.stall(w_.clock.now);
   if (still > 0) {
     if (core_) core_->slept(still, w_.clock.now);
     heard_sibling_ = w_.clock.now;
   }
-  return core_ && lease_clock_.sure(w_.clock.now, kLeaseTtl);
+  return core_ && lease_clock_.lease_confirmed(w_.clock.now, kLeaseTtl);
 }
 
-void SimNode::pulse() {
-  sure();
-  later(0.25, &SimNode::pulse);
+void SimNode::stall_check() {
+  lease_confirmed();
+  later(0.25, &SimNode::stall_check);
 }
 
 // As the daemon's (Node::acts): leads without doubt.
-bool SimNode::acts() { return sure() && lease_clock_.runs(w_.clock.now, kLeaseTtl); }
+bool SimNode::acts() { return lease_confirmed() && lease_clock_.runs(w_.clock.now, kLeaseTtl); }
 
 uint64_t SimNode::known_token() const {
-  return std::max({highest_token_, token_, mirror_.leader().empty() ? 0 : mirror_.leader_stamp()});
+  return std::max(
+      {highest_token_, token_, mirror_.leader().empty() ? 0 : mirror_.leader_version()});
 }
 
 // What siblings tell one another of leaders and cancellations (Node::view, Node::hear).
@@ -562,8 +563,8 @@
           known_cancellations_.read_to(view->read_to);
           highest_token_ = std::max(highest_token_, view->token);
           if (core_ && view->token > token_) step_down("a sibling knows a higher token");
-          horizon_.vouched(other->label_, view->incarnation, view->token, token_, sent,
-                           w_.clock.now);
+          cancellation_staleness_.vouched(other->label_, view->incarnation, view->token, token_,
+                                          sent, w_.clock.now);
         });
   }
   later(1, &SimNode::mesh);
@@ -572,13 +573,13 @@
 // As Node::take_cancelled.
 uint64_t SimNode::take_cancelled(uint64_t token, const std::string& id, const MirrorJob& job) {
   if (core_ && token > token_) step_down("a sibling knows a newer leader");
-  if (!core_ || core_->lost() || !sure()) return 0;
-  put_job(id, ledger::encode(job.row), job.stamp);
+  if (!core_ || core_->lost() || !lease_confirmed()) return 0;
+  put_job(id, ledger::encode(job.row), job.version);
   return token_;
 }
 
-void SimNode::put_job(const std::string& id, const nlohmann::json& value, uint64_t stamp) {
-  mirror_.put(ledger::job_key(id), value, stamp);
+void SimNode::put_job(const std::string& id, const nlohmann::json& value, uint64_t version) {
+  mirror_.put(ledger::job_key(id), value, version);
   if (core_) core_->on_job_row(*mirror_.job(id), id, w_.clock.now);
 }
 
@@ -587,15 +588,15 @@
                               const std::function<void(bool)>& then) {
   const MirrorJob* j = mirror_.job(id);
   if (!j || j->row.standing != ledger::Standing::aborted) return then(false);
-  const uint64_t stamp = j->stamp;
-  if (known_cancellations_.has(id, stamp)) return then(true);
+  const uint64_t version = j->version;
+  if (known_cancellations_.has(id, version)) return then(true);
   if (core_) {
-    const bool ours = !core_->lost() && sure() && token_ >= known_token();
-    if (ours) known_cancellations_.acknowledge(id, stamp);
+    const bool ours = !core_->lost() && lease_confirmed() && token_ >= known_token();
+    if (ours) known_cancellations_.acknowledge(id, version);
     return then(ours);
   }
-  const uint64_t token = mirror_.leader().empty() ? 0 : mirror_.leader_stamp();
-  const bool placed = leader > 0 ? leader <= token : revision_ >= stamp;
+  const uint64_t token = mirror_.leader().empty() ? 0 : mirror_.leader_version();
+  const bool placed = leader > 0 ? leader <= token : revision_ >= version;
   size_t to = w_.nodes.size();
   for (size_t i = 0; i < w_.nodes.size(); ++i)
     if (w_.nodes[i]->label_ == mirror_.leader()) to = i;
@@ -605,13 +606,13 @@
   w_.call(
       "n" + std::to_string(index_), "n" + std::to_string(to), 1,
       [this, to, token, id, row, got] { *got = w_.nodes[to]->take_cancelled(token, id, row); },
-      [this, life = life_, token, id, stamp, got, then](bool ok) {
+      [this, life = life_, token, id, version, got, then](bool ok) {
         if (life != life_) return;
         if (ok && *got >= token) {
           highest_token_ = std::max(highest_token_, *got);
-          known_cancellations_.acknowledge(id, stamp);
+          known_cancellations_.acknowledge(id, version);
         }
-        then(known_cancellations_.has(id, stamp));
+        then(known_cancellations_.has(id, version));
       });
 }
 
@@ -651,10 +652,10 @@
         if (good) {
           for (const Store::Event& e : *events) {
             if (e.erased) {
-              mirror_.erase(e.key, e.stamp);
+              mirror_.erase(e.key, e.version);
               continue;
             }
-            mirror_.put(e.key, e.value, e.stamp);
+            mirror_.put(e.key, e.value, e.version);
             const std::string prefix = ledger::kJobPrefix;
             if (core_ && e.key.rfind(prefix, 0) == 0) {
               const std::string id = e.key.substr(prefix.size());
@@ -664,10 +665,10 @@
           revision_ = std::max(revision_, *rev);
           heard_state_ = w_.clock.now;
           loaded_ = true;
-          horizon_.proven(sent);
+          cancellation_staleness_.proven(sent);
           if (!mirror_.leader().empty())
-            highest_token_ = std::max(highest_token_, mirror_.leader_stamp());
-          if (core_ && mirror_.leader_stamp() > token_) step_down("not ours");
+            highest_token_ = std::max(highest_token_, mirror_.leader_version());
+          if (core_ && mirror_.leader_version() > token_) step_down("not ours");
           if (core_) known_cancellations_.read_to(revision_);
         }
         for (auto& f : *asked) f(good);
@@ -693,12 +694,12 @@
           },
           [this, life, kept, lease, now](bool ok) {
             if (life != life_) return;
-            sure();
+            lease_confirmed();
             lease_clock_.asked(now);
             if (!core_ || lease != lease_ || !ok) return;
             if (*kept == 1) {
               lease_clock_.kept(now);
-              horizon_.proven(now);
+              cancellation_staleness_.proven(now);
             }
             if (w_.clock.now - lease_clock_.kept_at() > kMaxDoubt)
               return step_down("in doubt for long");
@@ -732,8 +733,8 @@
             barrier([this, life, token, lease, now](bool good) {
               if (life != life_) return;
               campaigning_ = false;
-              if (!good || mirror_.leader_stamp() != *token) return;
-              sure();
+              if (!good || mirror_.leader_version() != *token) return;
+              lease_confirmed();
               if (w_.clock.now - now > kLeaseTtl * LeaseClock::kDrift) return;  // too late
               token_ = *token;
               lease_ = *lease;
@@ -753,11 +754,11 @@
 void SimNode::round() {
   if (core_ && core_->lost()) step_down("lost");
   if (acts()) {
-    if (core_->deaf(w_.clock.now))
+    if (core_->receives_no_reports(w_.clock.now))
       step_down("deaf", 12);
     else
       core_->round(w_.clock.now);
-  } else if (sure()) {
+  } else if (lease_confirmed()) {
     core_->watch_cancelled(w_.clock.now);
   }
   commit();
@@ -784,7 +785,7 @@
             if (const Store::Entry* e = w_.store.get(c.key);
                 e && e->value.value("w", "") == p->txn.mark) {
               r.outcome = Outcome::applied;
-              r.revision = e->stamp;
+              r.revision = e->version;
             }
             break;
           }
@@ -803,7 +804,7 @@
 
 void SimNode::direct() {
   if (!acts()) return;
-  while (auto d = core_->next_direct(w_.clock.now)) {
+  while (auto d = core_->next_direct_command(w_.clock.now)) {
     const uint64_t life = life_, token = token_;
     const std::string name = d->addr.substr(std::string("worker-").size());
     auto answer = std::make_shared<std::optional<Report>>();
@@ -816,13 +817,14 @@
         },
         [this, d, life, token, answer](bool ok) {
           if (life == life_ && core_ && token == token_)
-            core_->on_direct(*d, ok && *answer, ok ? *answer : std::nullopt, w_.clock.now);
+            core_->on_direct_command_result(*d, ok && *answer, ok ? *answer : std::nullopt,
+                                            w_.clock.now);
         });
   }
 }
 
 void SimNode::cloud() {
-  if (!sure() || cloud_busy_) return;
+  if (!lease_confirmed() || cloud_busy_) return;
   const uint64_t life = life_, token = token_;
   const double now = w_.clock.now;
   const std::string me = "n" + std::to_string(index_);
@@ -847,15 +849,16 @@
         });
   } else if (doubtful) {
     return;
-  } else if (auto h = core_->next_hire(now)) {
+  } else if (auto h = core_->next_rental_request(now)) {
     cloud_busy_ = true;
-    auto a = std::make_shared<World::HireAnswer>();
+    auto a = std::make_shared<World::RentalAnswer>();
     w_.call(
-        me, "cloud", 3, [this, h, a] { *a = w_.hire(*h); },
+        me, "cloud", 3, [this, h, a] { *a = w_.rent(*h); },
         [this, h, a, done, life, token](bool ok) {
           done();
           if (life == life_ && core_ && token == token_)
-            core_->on_hire(*h, ok ? a->outcome : CloudOutcome::unknown, a->names, w_.clock.now);
+            core_->on_rental_result(*h, ok ? a->outcome : CloudOutcome::unknown, a->names,
+                                    w_.clock.now);
         });
   } else if (now >= next_list_) {
     cloud_busy_ = true;
@@ -877,13 +880,14 @@
   if (core_ && w_.nodes.size() > 1 && w_.clock.now - heard_sibling_ > 5 &&
       w_.clock.now - heard_state_ > 5)
     return a;
-  if (core_ && !sure()) return a;  // 503: it slept, and does not know yet whether it still leads
-  if (core_ &&
-      w_.clock.now - horizon_.at() > horizon_limit(w_.settings.cancel_s, w_.settings.lease_s))
+  if (core_ && !lease_confirmed())
+    return a;  // 503: it slept, and does not know yet whether it still leads
+  if (core_ && w_.clock.now - cancellation_staleness_.at() >
+                   staleness_limit(w_.settings.cancel_s, w_.settings.lease_s))
     return a;  // jobs may have been cancelled unheard
   if (core_)
     core_->allow_starts(lease_clock_.runs(w_.clock.now, kLeaseTtl) ||
-                        w_.clock.now - horizon_.at() < kFreshHorizon);
+                        w_.clock.now - cancellation_staleness_.at() < kMaxStaleness);
   if (core_ && !core_->lost()) {
     const ReportReply out = core_->on_report(r, w_.clock.now);
     if (out.verdict != ReportReply::Verdict::deposed) {
@@ -911,7 +915,7 @@
         if (repeat && result->outcome == Outcome::conflict && e &&
             e->value.value("w", "") == t.mark) {
           result->outcome = Outcome::applied;
-          result->revision = e->stamp;
+          result->revision = e->version;
         }
       },
       [this, life, t, repeat, tries, result, then](bool ok) {
@@ -968,9 +972,9 @@
       row.per = j->row.per;
       row.spec = j->row.spec;
       row.at_s = w_.clock.now;
-      t.conditions = {{ledger::job_key(id), j->stamp}};
+      t.conditions = {{ledger::job_key(id), j->version}};
       if (!mirror_.leader().empty()) {
-        leader = mirror_.leader_stamp();
+        leader = mirror_.leader_version();
         t.conditions.push_back({ledger::kLeaderKey, leader});
       }
     }
@@ -1140,10 +1144,10 @@
     });
 }
 
-World::HireAnswer World::hire(const Hire& h) {
-  HireAnswer a;
+World::RentalAnswer World::rent(const RentalRequest& h) {
+  RentalAnswer a;
   if (cloud_outage) return a;
-  if (auto it = hired.find(h.name); it != hired.end()) {
+  if (auto it = rented.find(h.name); it != rented.end()) {
     a.outcome = CloudOutcome::done;
     a.names = it->second;
     return a;
@@ -1155,7 +1159,7 @@
     return a;
   }
   room -= n;
-  ++hires;
+  ++rentals;
   const TypeInfo* type = nullptr;
   for (const TypeInfo& t : types)
     if (t.name == h.type) type = &t;
@@ -1171,7 +1175,7 @@
     workers[name] = std::move(w);
     a.names.push_back(name);
   }
-  hired[h.name] = a.names;
+  rented[h.name] = a.names;
   a.outcome = CloudOutcome::done;
   return a;
 }
@@ -1189,10 +1193,10 @@
 std::vector<ListedMachine> World::list() const {
   std::vector<ListedMachine> out;
   for (const auto& [n, w] : workers) {
-    if (w->gone || clock.now - w->hired_at < settings.list_lag_s) continue;
+    if (w->gone || clock.now - w->rented_at < settings.list_lag_s) continue;
     out.push_back({n, "worker-" + n, w->type.name, w->zone, w->spot,
                    w->up ? ListedMachine::State::running : ListedMachine::State::booting,
-                   clock.now - w->hired_at});
+                   clock.now - w->rented_at});
   }
   return out;
 }
@@ -1255,15 +1259,15 @@
   SimNode* n = nodes[node].get();
   auto settled = std::make_shared<bool>(false);
   const double asked = clock.now;
-  auto hear = [settled, hears](const std::string& a, const Asked& when) {
+  auto settle = [settled, hears](const std::string& a, const Asked& when) {
     if (std::exchange(*settled, true)) return;
     hears(a, when);
   };
-  clock.after(patience, [hear] { hear("", {}); });
-  auto give = [this, hear, asked, node](const std::string& a) {
+  clock.after(patience, [settle] { settle("", {}); });
+  auto give = [this, settle, asked, node](const std::string& a) {
     const Asked when{asked, clock.now, static_cast<int>(node)};
     const double back = kWire + (slow > 0 && chance() < slow ? 2.5 * chance() : 0);
-    clock.after(back, [hear, a, when] { hear(a, when); });
+    clock.after(back, [settle, a, when] { settle(a, when); });
   };
   call(
       "users", "n" + std::to_string(node), patience,
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -49,13 +49,13 @@
  public:
   struct Entry {
     nlohmann::json value;
-    uint64_t stamp = 0, lease = 0;
+    uint64_t version = 0, lease = 0;
   };
   struct Event {
     std::string key;
     bool erased = false;
     nlohmann::json value;
-    uint64_t stamp = 0;
+    uint64_t version = 0;
   };
   explicit Store(Clock& clock) : clock_(clock) {}
   bool outage = false;
@@ -106,7 +106,7 @@
   bool gone = false, hung = false, sick = false, up = false;
   double mute_until = -1;  // it reaches no controller; commands reach it
   double deaf_until = -1;  // its reports arrive; answers and commands do not reach it
-  double hired_at;
+  double rented_at;
   std::string name, zone;
   const TypeInfo type;
   const bool spot;
@@ -187,13 +187,13 @@
 
  private:
   void later(double s, void (SimNode::*loop)());
-  bool sure();
+  bool lease_confirmed();
   bool acts();
   uint64_t known_token() const;
   void may_say_aborted(const std::string& id, uint64_t leader,
                        const std::function<void(bool)>& then);
   uint64_t take_cancelled(uint64_t token, const std::string& id, const MirrorJob& job);
-  void put_job(const std::string& id, const nlohmann::json& value, uint64_t stamp);
+  void put_job(const std::string& id, const nlohmann::json& value, uint64_t version);
   void watch();
   void lead();
   void round();
@@ -201,7 +201,7 @@
   void cloud();
   void direct();
   void mesh();
-  void pulse();
+  void stall_check();
   void barrier(std::function<void(bool)> then);
   void settle(const ledger::Transaction& t, bool repeat, int tries,
               const std::function<void(std::optional<ledger::Result>)>& then);
@@ -217,7 +217,7 @@
   uint64_t token_ = 0, lease_ = 0;
   LeaseClock lease_clock_;
   KnownCancellations known_cancellations_;
-  CancellationHorizon horizon_;
+  CancellationStaleness cancellation_staleness_;
   uint64_t highest_token_ = 0;
   double rest_until_ = 0, heard_state_ = -1e9, heard_sibling_ = -1e9;
   std::vector<std::function<void(bool)>> waiting_;
@@ -273,17 +273,17 @@
   void refuse(const std::string& place, double s) { refused_[place] = clock.now + s; }
 
   // Cloud.
-  struct HireAnswer {
+  struct RentalAnswer {
     CloudOutcome outcome = CloudOutcome::refused;
     std::vector<std::string> names;
   };
-  HireAnswer hire(const Hire& h);
+  RentalAnswer rent(const RentalRequest& h);
   void give_back(const std::vector<std::string>& names);
   std::vector<ListedMachine> list() const;
   bool cloud_outage = false;
-  std::map<std::pair<std::string, bool>, int> capacity;   // (zone, spot)
-  std::map<std::string, std::vector<std::string>> hired;  // by request name
-  size_t hires = 0, returns = 0, charged = 0;
+  std::map<std::pair<std::string, bool>, int> capacity;    // (zone, spot)
+  std::map<std::string, std::vector<std::string>> rented;  // by request name
+  size_t rentals = 0, returns = 0, charged = 0;
   double never_boots = 0, slow_boots = 1;  // chance; how many times as long boots take
 
   // Users.
--- a/tests/user_api_test.cpp
+++ b/tests/user_api_test.cpp
@@ -42,7 +42,9 @@
     results.pop_front();
     return result;
   }
-  void apply_committed(const wire::Row& row) override { mirror.put(row.key, row.value, row.stamp); }
+  void apply_committed(const wire::Row& row) override {
+    mirror.put(row.key, row.value, row.version);
+  }
   bool may_say_aborted(const std::string& job, double, uint64_t leader) override {
     asked_about.push_back(job);
     leader_at_write = leader;
@@ -147,11 +149,11 @@
   const ledger::Transaction& t = ledger.committed[0];
   ASSERT_EQ(t.conditions.size(), 1u);  // create if absent
   EXPECT_EQ(t.conditions[0].key, ledger::job_key(kJob));
-  EXPECT_EQ(t.conditions[0].stamp, 0u);
+  EXPECT_EQ(t.conditions[0].version, 0u);
   ASSERT_EQ(t.changes.size(), 1u);
   EXPECT_EQ(t.changes[0].value.at("w"), t.mark);
   ASSERT_TRUE(ledger.mirror.job(kJob));  // seen by the next request at once
-  EXPECT_EQ(ledger.mirror.job(kJob)->stamp, 9u);
+  EXPECT_EQ(ledger.mirror.job(kJob)->version, 9u);
   EXPECT_EQ(ledger.barriers, 0);
 }
 
@@ -274,9 +276,9 @@
   const auto& conditions = ledger.committed[0].conditions;
   ASSERT_EQ(conditions.size(), 2u);
   EXPECT_EQ(conditions[0].key, ledger::job_key(kJob));
-  EXPECT_EQ(conditions[0].stamp, kVersion);
+  EXPECT_EQ(conditions[0].version, kVersion);
   EXPECT_EQ(conditions[1].key, ledger::kLeaderKey);
-  EXPECT_EQ(conditions[1].stamp, kLeader);
+  EXPECT_EQ(conditions[1].version, kLeader);
   EXPECT_EQ(ledger.leader_at_write, kLeader);
   EXPECT_EQ(ledger.mirror.job(kJob)->row.standing, Standing::aborted);
   EXPECT_TRUE(ledger.mirror.job(kJob)->row.spec);  // it counts for limits until its tasks are gone
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -210,7 +210,7 @@
   EXPECT_FALSE(parse_types(json::array()));
 }
 
-// A revision or a lease below 0 would be a huge one; a row without a stamp has no place in time.
+// A revision or a lease below 0 would be a huge one; a row without a version has no place in time.
 TEST(Wire, BadAnswersOfTheStateServiceAreNoAnswers) {
   for (const json& v : {json(-1), json("4"), json(1.5), json(true), json()}) {
     EXPECT_FALSE(parse_revision({{"ledger", v}})) << v;
