--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -25,7 +25,7 @@
 // of a class that is promised a prompt start. A large image decides alone whether one is kept.
 constexpr double kLeaveWarm = 0.5;
 // In seconds of age: a promise of a prompt start goes before anything else of its rank.
-constexpr double kPromptFirst = 1e6;
+constexpr double kStartPromiseFirst = 1e6;
 // A promise of a start that queueing can keep is kept by going first for the last part of its time.
 constexpr double kDueSoon = 40;
 constexpr double kDueFirst = 1e5;
@@ -48,7 +48,7 @@
 constexpr double kFetchCost = 4;
 // A gang that is promised a prompt start keeps free places this soon; all together hold no more
 // than this share of the machines, but for starved ones.
-constexpr double kPromptClaimAfter = 0.5;
+constexpr double kStartPromiseClaimAfter = 0.5;
 constexpr double kClaimMost = 0.15;
 // In seconds of urgency: how far an array whose image is on a free machine may go before others;
 // and how many arrays are asked.
@@ -87,7 +87,7 @@
   const double age = now - job.seen_at;
   for (const double within : job.start_within) {
     if (within <= age) continue;
-    if (job.has_start_promise) return within - age - kPromptFirst;
+    if (job.has_start_promise) return within - age - kStartPromiseFirst;
     if (within - age < kDueSoon) return within - age - kDueFirst;
   }
   const double left = (job.tasks() - job.done_count) * job.share * job.spec.estimate_s;
@@ -420,7 +420,7 @@
 void Core::claim(const Job& job, const std::vector<Place>& free, double now) {
   const double waited = now - std::max(job.seen_at, job.last_start);
   const bool late = starved(job, now);
-  if (waited < (job.has_start_promise ? kPromptClaimAfter : kSetAsideAfter) && !late) return;
+  if (waited < (job.has_start_promise ? kStartPromiseClaimAfter : kSetAsideAfter) && !late) return;
   if (!late && job.tasks() * job.share > kClaimMost * static_cast<double>(ready_)) return;
   std::map<Index, uint32_t> slots;
   for (const Place& p : free) slots[job.spec.one_zone ? machines_[p.machine]->zone : 0] += p.slots;
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-// Errors of this many distinct jobs without a success between them terminate a machine.
+// A machine is cordoned after errors of this many distinct jobs without a success between them.
 constexpr size_t kSickAfter = 2;
 // After its first error a machine takes no new work for this long, unless it succeeds.
 constexpr double kSuspectFor = 20;
@@ -18,7 +18,7 @@
 constexpr size_t kFaultyJobAfter = 3;
 // A new leader calls machines that have not come to it from this moment on: until then those whose
 // leader ended with a closed connection begin to come by themselves.
-constexpr double kIntroduceAfter = 1;
+constexpr double kAnnounceTokenAfter = 1;
 // With so many machines called in vain the others are left to come by themselves for a while: each
 // such call keeps a thread that direct commands need.
 constexpr int kMostCalledInVain = 10;
@@ -371,7 +371,7 @@
 // still or fell away wait for its answer first, and then perhaps for that of another node that is
 // gone: until they come, calls tell what runs there and start what waits.
 std::optional<DirectCommand> Core::token_announcement(double now) {
-  if (now - started_ < kIntroduceAfter || now < announce_token_at_) return std::nullopt;
+  if (now - started_ < kAnnounceTokenAfter || now < announce_token_at_) return std::nullopt;
   const double expected = expected_by(started_, settings_);
   const auto in_vain = std::count_if(machines_.begin(), machines_.end(), [](const auto& m) {
     return m->token_announcements > 0 && !m->registered && !m->direct_in_flight;
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -5,11 +5,11 @@
 //   leader    the leader key: campaigns, renews, steps down
 //   engine    rounds of the core while leading
 //   committer transactions of the core
-//   direct    orders that do not wait for a worker's next report
+//   direct    commands that do not wait for a worker's next report
 //   cloud     rentals, returns, lists, machine types
 //   mesh      exchanges views with siblings
 //   teller    tells the leader of cancellations before their users hear of them
-//   stall check     notices that the process stood still
+//   stall     notices that the process stood still
 //   api       a thread per connection of users, workers, health checks
 //
 // One mutex guards the core, the mirror and the role; nothing blocks while holding it.
@@ -45,8 +45,7 @@
 // follower -> campaigning -> leading <-> doubtful -> resting -> follower
 //   leading   holds the leader key as far as it can know
 //   doubtful  could not renew for a lease's time: answers reports with its token, decides nothing
-//   resting   gave the key up because it received no reports: leaves the next election to the
-//   others
+//   resting   gave the key up because no worker reached it: leaves the next election to the others
 enum class Role : uint8_t { follower, campaigning, leading, doubtful, resting };
 std::string_view to_string(Role r);
 
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -539,7 +539,7 @@
       {highest_token_, token_, mirror_.leader().empty() ? 0 : mirror_.leader_version()});
 }
 
-// What siblings tell one another of leaders and cancellations (Node::view, Node::hear).
+// What siblings tell one another of leaders and cancellations (Node::view, Node::on_peer_view).
 void SimNode::mesh() {
   struct View {
     std::string incarnation;
