--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -52,6 +52,7 @@
 
 std::vector<std::string> labels_of(const std::vector<Sibling>& siblings) {
   std::vector<std::string> labels;
+  labels.reserve(siblings.size());
   for (const Sibling& s : siblings) labels.push_back(s.label);
   return labels;
 }
