--- a/tests/connection_pool_test.cpp
+++ b/tests/connection_pool_test.cpp
@@ -72,6 +72,7 @@
 TEST_F(ConnectionPoolTest, EachConnectionHasOneBorrowerAtATime) {
   std::atomic<int> in_use{0}, most{0};
   std::vector<std::thread> threads;
+  threads.reserve(8);
   for (int i = 0; i < 8; ++i)
     threads.emplace_back([&] {
       for (int round = 0; round < 50; ++round) {
--- a/tests/core_troubles_test.cpp
+++ b/tests/core_troubles_test.cpp
@@ -236,8 +236,8 @@
   EXPECT_GE(starts["wk-000001"], 1u);
 }
 
-// The turn of a starved array lasts until its share has begun, however few places are free at a time.
-// The share is a sixteenth of its tasks or of the fleet's 24 places, four at least.
+// The turn of a starved array lasts until its share has begun, however few places are free at a
+// time. The share is a sixteenth of its tasks or of the fleet's 24 places, four at least.
 TEST_F(Guests, AStarvedArraysTurnIsNotOverWithItsFirstTasks) {
   for (int i = 0; i < 180; ++i) {
     for (int k = 0; k < 2; ++k) submit("wk-" + std::to_string(100000 + 2 * i + k), 1, 1, 10);
@@ -258,6 +258,7 @@
     run_until(now + 1);
     while (auto h = core.next_rental_request(now)) {
       std::vector<std::string> names;
+      names.reserve(static_cast<size_t>(h->count));
       for (int i = 0; i < h->count; ++i) names.push_back("m-" + std::to_string(rented++));
       core.on_rental_result(*h, CloudOutcome::done, names, now);
     }
--- a/tests/read_barrier_test.cpp
+++ b/tests/read_barrier_test.cpp
@@ -56,6 +56,7 @@
 
 TEST_F(ReadBarrierTest, OneReadAnswersAllThatWaited) {
   std::vector<std::future<bool>> results;
+  results.reserve(5);
   ReadBarrier::Read read = 0;
   for (int i = 0; i < 5; ++i) results.push_back(waiting());
   while (read < 5) {
--- a/tests/rented_list_test.cpp
+++ b/tests/rented_list_test.cpp
@@ -14,20 +14,20 @@
 class RentedListTest : public testing::Test {
  protected:
   RentedListTest() {
-    types_.intern("large");
-    types_.intern("small");
-    zones_.intern("east");
-    zones_.intern("west");
+    types.intern("large");
+    types.intern("small");
+    zones.intern("east");
+    zones.intern("west");
   }
 
   std::optional<RentedMachine> machine(Index index) const {
-    if (index >= machines_.size()) return std::nullopt;
-    return machines_[index];
+    if (index >= machines.size()) return std::nullopt;
+    return machines[index];
   }
 
   void add(const std::string& name, Index type, Index zone, bool spot) {
-    list_.mark_changed(static_cast<Index>(machines_.size()));
-    machines_.push_back(RentedMachine{name, type, zone, spot});
+    list.mark_changed(static_cast<Index>(machines.size()));
+    machines.emplace_back(RentedMachine{name, type, zone, spot});
   }
 
   // More machines than a row takes, so that a second one begins.
@@ -38,26 +38,26 @@
   ledger::Transaction write(double now, size_t rows = 8) {
     ledger::Transaction transaction;
     transaction.mark = "7.1";
-    list_.write(
-        now, rows, [this](Index i) { return machine(i); }, types_, zones_, transaction);
+    list.write(
+        now, rows, [this](Index i) { return machine(i); }, types, zones, transaction);
     return transaction;
   }
 
   void settle(const ledger::Transaction& transaction, ledger::Outcome outcome,
               uint64_t revision = 0) {
-    list_.on_result(transaction, {outcome, revision, {}});
+    list.on_result(transaction, {outcome, revision, {}});
   }
 
-  Names types_, zones_;
-  std::vector<std::optional<RentedMachine>> machines_;
-  RentedList list_{kValueBytes};
+  Names types, zones;
+  std::vector<std::optional<RentedMachine>> machines;
+  RentedList list{kValueBytes};
 };
 
 TEST_F(RentedListTest, ARowGroupsItsMachinesByTypeZoneAndKind) {
   add("m-1", 1, 0, true);
   add("m-2", 0, 1, false);
   add("m-3", 1, 0, true);
-  machines_.push_back(std::nullopt);  // gone
+  machines.emplace_back(std::nullopt);  // gone
   const ledger::Transaction transaction = write(1);
   ASSERT_EQ(transaction.changes.size(), 1u);
   EXPECT_EQ(transaction.changes[0].key, ledger::fleet_key(0));
@@ -73,33 +73,33 @@
   EXPECT_EQ(first.conditions[0].key, ledger::fleet_key(0));
   EXPECT_EQ(first.conditions[0].version, 0u) << "it must not exist yet";
   settle(first, ledger::Outcome::applied, 12);
-  list_.mark_changed(0);
+  list.mark_changed(0);
   EXPECT_EQ(write(5).conditions.at(0).version, 12u);
 }
 
 TEST_F(RentedListTest, OneWriteAtATimeAndNoMoreOftenThanEveryFourSeconds) {
-  EXPECT_FALSE(list_.can_write(1)) << "nothing has changed";
+  EXPECT_FALSE(list.can_write(1)) << "nothing has changed";
   add("m-1", 0, 0, false);
-  EXPECT_TRUE(list_.can_write(1));
+  EXPECT_TRUE(list.can_write(1));
   const ledger::Transaction first = write(1);
   add("m-2", 0, 0, false);
-  EXPECT_FALSE(list_.can_write(10)) << "the first is under way";
+  EXPECT_FALSE(list.can_write(10)) << "the first is under way";
   settle(first, ledger::Outcome::applied, 12);
-  EXPECT_FALSE(list_.can_write(4.9));
-  EXPECT_TRUE(list_.can_write(5));
-  EXPECT_FALSE(list_.overdue(7));
-  EXPECT_TRUE(list_.overdue(7.1));
+  EXPECT_FALSE(list.can_write(4.9));
+  EXPECT_TRUE(list.can_write(5));
+  EXPECT_FALSE(list.overdue(7));
+  EXPECT_TRUE(list.overdue(7.1));
 }
 
 TEST_F(RentedListTest, WhatWasNotWrittenIsWrittenAgain) {
   add("m-1", 0, 0, false);
   settle(write(1), ledger::Outcome::refused);
-  EXPECT_TRUE(list_.can_write(5));
+  EXPECT_TRUE(list.can_write(5));
   const ledger::Transaction again = write(5);
   ASSERT_EQ(again.changes.size(), 1u);
   EXPECT_EQ(again.conditions.at(0).version, 0u);
   settle(again, ledger::Outcome::applied, 12);
-  EXPECT_FALSE(list_.can_write(9));
+  EXPECT_FALSE(list.can_write(9));
 }
 
 TEST_F(RentedListTest, OnlyChangedRowsAreWrittenSoManyAtATime) {
@@ -113,7 +113,7 @@
   ASSERT_EQ(second.changes.size(), 1u);
   EXPECT_EQ(second.changes[0].key, ledger::fleet_key(1));
   settle(second, ledger::Outcome::applied, 13);
-  list_.mark_changed(399);
+  list.mark_changed(399);
   const ledger::Transaction third = write(9);
   ASSERT_EQ(third.changes.size(), 1u);
   EXPECT_EQ(third.changes[0].key, ledger::fleet_key(1));
@@ -126,7 +126,7 @@
   RentedList successor(kValueBytes);
   RentedList::Rows rows;
   for (const ledger::Change& change : transaction.changes) rows[change.key] = {12, change.value};
-  const auto machines = successor.load(rows, types_, zones_);
+  const auto machines = successor.load(rows, types, zones);
   ASSERT_EQ(machines.size(), 2u);
   EXPECT_EQ(machines[0].name, "m-2");
   EXPECT_EQ(machines[0].type, 0u);
@@ -139,7 +139,7 @@
   EXPECT_TRUE(successor.can_write(2)) << "it writes the list as it knows it";
   ledger::Transaction own;
   successor.write(
-      2, 8, [](Index) { return std::nullopt; }, types_, zones_, own);
+      2, 8, [](Index) { return std::nullopt; }, types, zones, own);
   EXPECT_EQ(own.conditions.at(0).version, 12u);
 }
 
@@ -151,12 +151,12 @@
   rows[ledger::fleet_key(1)] = {4, json(5)};
   rows[ledger::fleet_key(2)] = {5, json::parse(R"({"machines": "none"})")};
   rows["elsewhere"] = {6, odd};
-  const auto machines = list_.load(rows, types_, zones_);
+  const auto machines = list.load(rows, types, zones);
   ASSERT_EQ(machines.size(), 2u);
   EXPECT_EQ(machines[0].name, "m-2");
   EXPECT_EQ(machines[1].name, "m-3");
   EXPECT_EQ(machines[1].type, kNone);
-  EXPECT_EQ(zones_.name(machines[1].zone), "north");
+  EXPECT_EQ(zones.name(machines[1].zone), "north");
   const ledger::Transaction transaction = write(1);
   ASSERT_EQ(transaction.conditions.size(), 3u);
   EXPECT_EQ(transaction.conditions[1].version, 4u)
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -1255,7 +1255,7 @@
 
 // Node-side work is asynchronous, so the answer is awaited here rather than by call().
 void World::ask(size_t node, const std::string& verb, const JobSpec& spec, double patience,
-                Hears hears) {
+                const Hears& hears) {
   SimNode* n = nodes[node].get();
   auto settled = std::make_shared<bool>(false);
   const double asked = clock.now;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -339,7 +339,8 @@
   void odd_request();
   using Hears = std::function<void(const std::string& answer, const Asked& when)>;
   // One request to a node. It is heard once: the answer, or "" once its patience has run out.
-  void ask(size_t node, const std::string& verb, const JobSpec& spec, double patience, Hears hears);
+  void ask(size_t node, const std::string& verb, const JobSpec& spec, double patience,
+           const Hears& hears);
   // One request about a job, sent once; its answer is checked like any other.
   void ask_once(const std::string& verb, const JobSpec& spec);
   void ask_node(size_t node, const std::string& verb, const JobSpec& spec);
--- a/tests/write_share_test.cpp
+++ b/tests/write_share_test.cpp
@@ -15,7 +15,7 @@
 WriteShare replica(const std::string& label) {
   std::vector<std::string> siblings;
   for (const char* other : {"a", "b", "c"})
-    if (label != other) siblings.push_back(other);
+    if (label != other) siblings.emplace_back(other);
   return {label, siblings, 3, kRate};
 }
 
