--- a/tests/starvation_test.cpp
+++ b/tests/starvation_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "core/core.h"
+#include "core_fixtures.h"
 
 namespace rookdyke {
 namespace {
@@ -12,40 +12,6 @@
 constexpr size_t kPlacesOfAMachine = 4;
 constexpr uint32_t kSeveralTimesTheFleet = 20'000;
 
-Settings settings_of_one_zone() {
-  Settings settings;
-  settings.label = "n0";
-  settings.zones = {"a"};
-  settings.teams = {{"team", 0, 0, 0, 0}};
-  settings.report_s = 5;
-  settings.lease_s = 29;
-  return settings;
-}
-
-TypeInfo machine_type() {
-  TypeInfo type;
-  type.name = "box";
-  type.size = {16, kPlacesOfAMachine, 64};
-  type.cache_gb = 100;
-  type.price = 4;
-  type.spot_price = 1;
-  type.boot_s = 50;
-  type.zones = {"a"};
-  return type;
-}
-
-Report report_of(int machine, uint64_t number) {
-  Report report;
-  report.machine = "m-" + std::to_string(machine);
-  report.addr = "10.0.0.1:1";
-  report.type = "box";
-  report.zone = "a";
-  report.session = 1;
-  report.seq = number;
-  report.token = kToken;
-  return report;
-}
-
 Mirror ledger_with_array(uint32_t tasks, double accepted_at) {
   Mirror mirror;
   ledger::JobRow row;
@@ -65,10 +31,10 @@
 // Starts of the array in the first round of a leader, 64 empty machines of four places each.
 size_t starts_in_first_round(uint32_t tasks, double waited) {
   constexpr double kNow = 500;
-  Core core(settings_of_one_zone(), {machine_type()}, kToken, kNow);
+  Core core(test::bare_settings(), {test::bare_type()}, kToken, kNow);
   core.set_day_offset(0);
   core.load(ledger_with_array(tasks, kNow - waited), kNow);
-  for (int i = 0; i < kMachines; ++i) core.on_report(report_of(i, 1), kNow);
+  for (int i = 0; i < kMachines; ++i) core.on_report(test::bare_report(i, 1, kToken), kNow);
   core.round(kNow);
   return core.find_job("wk-000001")->attempts.size();
 }
