Services as a shape of their own; what is laid out anew fits the lowered limits

A page of before that is too large once a 400 has shown the lowered sizes is relieved: chunks go to pages of their own, written first; of two pages that hold the same tasks the later one counts. Parts of chunks are written only then, when no replica of version 0.1 is left. - A 429 for changes lowers the shared rate for good, a 400 the sizes; siblings are told.

--- a/src/api/user_api.cpp
+++ b/src/api/user_api.cpp
@@ -30,6 +30,8 @@
 constexpr unsigned kRetryAfterMost = 3;
 
 constexpr const char* kLedgerSilent = "the ledger does not answer";
+constexpr const char* kTooLong = "the description is too long";
+constexpr const char* kUnreadable = "the job's row cannot be read";
 constexpr const char* kLeaderUnaware = "the leader has not heard of the cancellation";
 
 void reply(httplib::Response& response, int status, const json& body) {
@@ -84,7 +86,15 @@
 // A job that is known already is answered with its state, whatever the body says now.
 bool UserApi::answer_known(const std::string& id, double deadline, httplib::Response& response) {
   std::optional<JobAnswer> answer;
-  ledger_.read([&](const Mirror& mirror) { answer = mirror.answer(id); });
+  bool unreadable = false;
+  ledger_.read([&](const Mirror& mirror) {
+    answer = mirror.answer(id);
+    unreadable = mirror.unreadable(id);
+  });
+  if (unreadable) {
+    refuse(response, kUnreadable);
+    return true;
+  }
   if (!answer) return false;
   if (answer->standing == Standing::open && steady_now() > deadline + kTooLate)
     refuse(response, "too late");  // we stood still: others may have told its user more since
@@ -151,21 +161,27 @@
   t.mark = ledger_.transaction_mark();
   ledger::JobRow row;
   row.tasks = spec.tasks;
-  row.per = ledger::tasks_per_chunk(settings_.value_bytes);
+  row.per = ledger::tasks_per_chunk(settings_.lasting_value_bytes());
   row.at_s = day_time();
   row.spec = spec;
   row.mark = t.mark;
   const json value = ledger::encode(row);
-  const size_t size = value.dump(-1, ' ', false, json::error_handler_t::replace).size();
-  if (size + kRowOverhead > settings_.value_bytes) {
+  const size_t size = ledger::encoded_size(value) + kRowOverhead;
+  if (size > settings_.value_bytes) {
     if (answer_if_accepted_elsewhere(id, deadline, response)) return;
-    return reply(response, 400, {{"error", "the description is too long"}});
+    return reply(response, 400, {{"error", kTooLong}});
   }
   // Invariant 1: accepted means that this create-if-absent was executed.
   t.conditions = {{ledger::job_key(id), 0}};
   t.changes = {{ledger::job_key(id), false, value, 0}};
   const auto result = ledger_.commit(t, deadline);
   if (!result || result->outcome == Outcome::refused) return refuse(response, kLedgerSilent);
+  if (result->outcome == Outcome::rejected) {
+    // Since the state service has lowered its limits.
+    if (answer_if_accepted_elsewhere(id, deadline, response)) return;
+    if (size > settings_.lasting_value_bytes()) return reply(response, 400, {{"error", kTooLong}});
+    return refuse(response, kLedgerSilent);
+  }
   if (result->outcome == Outcome::conflict) {
     // Somebody's copy of this submission came first.
     if (answer_if_accepted_elsewhere(id, deadline, response)) return;
@@ -181,6 +197,7 @@
   const double asked = steady_now();
   if (!wire::valid_job_id(id)) return reply(response, 404, {{"error", "no such job"}});
   std::optional<JobAnswer> answer;
+  bool unreadable = false;
   ledger_.read([&](const Mirror& mirror) {
     const MirrorJob* job = mirror.job(id);
     if (job && job->row.standing != Standing::open) answer = mirror.answer(id);
@@ -192,10 +209,12 @@
   bool late = false;
   ledger_.read([&](const Mirror& mirror) {
     answer = mirror.answer(id);
+    unreadable = mirror.unreadable(id);
     // Invariant 5 again: we may have stood still between the barrier and here.
     late = steady_now() - asked > kPollTooLate;
   });
   if (late) return refuse(response, "too late");
+  if (unreadable) return refuse(response, kUnreadable);
   if (!answer) return reply(response, 404, {{"error", "no such job"}});
   answer_job(id, *answer, true, asked + kPollPatience, response);
 }
@@ -226,9 +245,10 @@
     refuse(response, kLedgerSilent);
     return std::nullopt;
   }
-  bool known = false;
+  bool known = false, unreadable = false;
   Cancellation c;
   ledger_.read([&](const Mirror& mirror) {
+    unreadable = mirror.unreadable(id);
     const MirrorJob* job = mirror.job(id);
     if (!job) return;
     known = true;
@@ -244,6 +264,10 @@
       c.transaction.conditions.push_back({ledger::kLeaderKey, c.leader});
     }
   });
+  if (unreadable) {
+    refuse(response, kUnreadable);
+    return std::nullopt;
+  }
   if (!known) {
     reply(response, 404, {{"error", "no such job"}});
     return std::nullopt;
@@ -262,10 +286,12 @@
     c->row.standing = Standing::aborted;
     c->row.at_s = day_time();
     c->row.mark = c->transaction.mark;
+    ledger::shorten_cancelled(c->row, settings_.lasting_value_bytes());
     const json value = ledger::encode(c->row);
     c->transaction.changes = {{ledger::job_key(id), false, value, 0}};
     const auto result = ledger_.commit(c->transaction, deadline);
-    if (!result || result->outcome == Outcome::refused) return refuse(response, kLedgerSilent);
+    if (!result || result->outcome == Outcome::refused || result->outcome == Outcome::rejected)
+      return refuse(response, kLedgerSilent);
     if (result->outcome == Outcome::conflict) continue;  // it moved: look again
     ledger_.apply_committed({ledger::job_key(id), value, result->revision, false});
     if (!ledger_.may_say_aborted(id, deadline, c->leader))
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -50,6 +50,23 @@
   return e;
 }
 
+size_t value_bytes(const json& state, const std::string& where) {
+  return static_cast<size_t>(number(state, "value_kb", where, 0.25, 1e6) * 1024);
+}
+
+// The limits that the state service will have from some moment on, if it tells.
+std::optional<StateLimits> next_limits(const json& state) {
+  if (!state.contains("next") || state.at("next").is_null()) return std::nullopt;
+  const json& next = state.at("next");
+  const std::string where = "params.state.next.";
+  if (!next.is_object()) bad("params.state.next must be an object");
+  StateLimits limits;
+  limits.value_bytes = value_bytes(next, where);
+  limits.txn_ops = static_cast<size_t>(number(next, "txn_ops", where, 1, 1e6));
+  limits.write_rps = number(next, "write_rps", where, 0.5, 1e9);
+  return limits;
+}
+
 }  // namespace
 
 Config parse_config(const std::string& body) {
@@ -105,8 +122,9 @@
   const std::string sw = "params.state.";
   c.state_rps = number(s, "rps", sw, 1, 1e9);
   c.write_rps = number(s, "write_rps", sw, 0.5, 1e9);
-  c.core.value_bytes = static_cast<size_t>(number(s, "value_kb", sw, 0.25, 1e6) * 1024);
+  c.core.value_bytes = value_bytes(s, sw);
   c.core.txn_ops = static_cast<size_t>(number(s, "txn_ops", sw, 1, 1e6));
+  c.core.next_limits = next_limits(s);
   const json& cl = need(p, "cloud", "params.");
   c.cloud_rps = number(cl, "rps", "params.cloud.", 0.1, 1e9);
   c.core.list_lag_s = number(cl, "list_lag_s", "params.cloud.", 0, 3600);
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -14,8 +14,8 @@
 }
 
 bool over_limit(const JobSpec& job, const TeamInfo& team) {
-  // The tasks of an array may run one after the other, those of a gang only all at once.
-  const double n = job.shape == Shape::gang ? job.tasks : 1;
+  // The tasks of an array may run one after the other, those of a gang or service only all at once.
+  const double n = job.shape == Shape::array ? 1 : job.tasks;
   return (team.cpus_max > 0 && job.each.cpus * n > team.cpus_max + kSlack) ||
          (team.gpus_max > 0 && job.each.gpus * n > team.gpus_max + kSlack);
 }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -3,8 +3,10 @@
 // results, machine lists), effects come out (transactions, rentals, returns, orders). It has no
 // sockets, clocks or randomness of its own, so scenarios drive it in simulated time.
 //
-// core.cpp       life of jobs and transactions, taking over from the ledger
+// core.cpp         life of jobs, taking over from the ledger
+// transactions.cpp what is written to the ledger, and what its answers mean
 // reports.cpp    what a worker's report proves, and the orders it is answered with
+// services.cpp   replicas of services: where they go, and how they move
 // placement.cpp  what runs where, preemption
 // fleet.cpp      demand, renting, draining, returning
 // states.cpp     the state machines' allowed steps
@@ -44,12 +46,19 @@
   double grace_s = 0;  // with this much time to save
   double since = 0;    // proposed or taken over at
   double running_since = 0;
+  bool proven = false;    // a replica that ran for long enough to show that it can
   bool shielded = false;  // its job had starved: not to be stopped for higher ranks
   // The report in whose answer `run` was last ordered; (0,0): never by this leader.
   uint64_t ordered_session = 0, ordered_seq = 0;
   bool direct = false;  // a `run` sent straight to its worker may still be executed
 };
 
+// The page that some consecutive tasks of a job lie in; kNone: never written.
+struct ChunkPlace {
+  uint32_t count = 0;  // of tasks
+  Index page = kNone;
+};
+
 struct Job {
   Index id = kNone;
   JobSpec spec;
@@ -59,15 +68,14 @@
   uint64_t version = 0;
   double at_s = 0;
   double seen_at = 0;  // on our clock: when it was accepted, as far as times of day can tell
-  uint32_t per = 1;
+  uint32_t per = 1;    // tasks a chunk, as the job's row has it
   std::set<uint32_t> waiting;            // tasks without an attempt
   std::map<uint32_t, Attempt> attempts;  // at most one per task, ever (rule ran_twice)
   ledger::TaskSet done;
   uint32_t done_count = 0;
-  uint32_t proposed = 0;  // attempts whose start is not durable yet
-  uint64_t top = 0;       // highest attempt number used
-  // The page that each chunk of tasks lies in; kNone: never written. It stays for the job's life.
-  std::vector<Index> pages;
+  uint32_t proposed = 0;                  // attempts whose start is not durable yet
+  uint64_t top = 0;                       // highest attempt number used
+  std::map<uint32_t, ChunkPlace> chunks;  // by first task; together they hold all tasks
   uint32_t in_flight_transactions = 0;  // transactions under way that name its row or its attempts
   bool has_start_promise = false;       // its class is promised a prompt start
   double stale_since = -1;              // its row changed under us: the watch has to bring it
@@ -75,6 +83,7 @@
   std::vector<double> start_within;     // what its class is promised of starting
   bool guaranteed = false;              // within its team's guarantee, as of this round
   double urgency = 0;                   // as of this round, smallest first
+  double missing_since = -1;            // a service's: a replica of it has last ended
   double last_start = -1;               // a task of it was last placed, or its turn was over
   uint32_t turn_left = 0;               // a starved array's: tasks that it may still begin
   double aborted_at = -1;
@@ -87,9 +96,12 @@
   bool gang() const { return spec.shape == Shape::gang; }
   bool over() const { return state == JobState::done || state == JobState::aborted; }
   bool stale() const { return stale_since >= 0; }
-  uint32_t chunk_of(uint32_t task) const { return task / per; }
-  uint32_t chunk_tasks(uint32_t n) const { return std::min(per, tasks() - n * per); }
-  size_t chunk_bytes(uint32_t n) const { return ledger::chunk_reserve(spec.id, chunk_tasks(n)); }
+  bool service() const { return spec.shape == Shape::service; }
+  // The first task of the chunk that the task lies in.
+  uint32_t chunk_of(uint32_t task) const { return std::prev(chunks.upper_bound(task))->first; }
+  size_t chunk_bytes(uint32_t first) const {
+    return ledger::chunk_reserve(spec.id, chunks.at(first).count);
+  }
 };
 
 // Who waits for a change to become durable, most impatient first: tasks promised a prompt start,
@@ -100,10 +112,16 @@
 struct Page {
   uint64_t version = 0;
   bool in_flight = false;
-  size_t reserved = 0;                           // bytes set aside for its chunks
-  std::set<std::pair<Index, uint32_t>> members;  // (job, chunk)
-  double dirty_since = -1;                       // negative: nothing to write
-  Wait waits = Wait::nobody;                     // for what is to be written
+  size_t reserved = 0;                             // bytes set aside for its chunks
+  std::set<std::pair<Index, uint32_t>> members;    // (job, first task of a chunk)
+  std::vector<ledger::PageEntry> unreadable_jobs;  // of jobs whose rows can't be read: kept as is
+  bool readable = true;                            // one that can't be read is never written
+  // Chunks that do not fit it any more were moved to so many pages, and are durable only here until
+  // these are written; and the page that this one took such chunks from.
+  uint32_t awaits = 0;
+  Index relieves = kNone;
+  double dirty_since = -1;         // negative: nothing to write
+  Wait waits = Wait::nobody;       // for what is to be written
   bool has_start_promise = false;  // holds only chunks of classes with a start promise
   double retry_at = 0;
 };
@@ -242,6 +260,10 @@
 
   uint64_t token() const { return token_; }
   // A condition on the leader key failed, or the ledger contradicts us: stop leading.
+  // The state service has lowered its limits to Settings::next_limits: what is larger is split.
+  void lower_limits();
+  bool has_lowered_limits() const { return has_lowered_limits_; }
+
   bool lost() const { return lost_; }
   // Most machines that reported to us have fallen silent: the silence is likely ours.
   bool receives_no_reports(double now) const;
@@ -272,6 +294,11 @@
   Job* find(Index job) { return job < jobs_.size() ? jobs_[job].get() : nullptr; }
   const Job* find(Index job) const { return job < jobs_.size() ? jobs_[job].get() : nullptr; }
   Job& add_job(const MirrorJob& row, const std::string& id, double now);
+  void add_chunks(Job& job, const MirrorJob& row, double now);
+  void add_strange(const Job& job, const ChunkKey& key, const MirrorChunk& c,
+                   const ledger::Part& tasks) const;
+  void add_tasks(Job& job, uint32_t first, uint32_t end, const ledger::Chunk& chunk, double now);
+  void keep_entries(const std::string& id, const MirrorJob& row);
   void abort_job(Job& job, const MirrorJob& row, double now);
   void drop_if_over(Index id);
   void erase_job(Job& job);
@@ -287,8 +314,24 @@
   Index page_for(size_t bytes, bool has_start_promise);
   bool proposal_stands(const Attempt& a) const;
   void void_proposals(Job& job, bool all);
+  // -- transactions.cpp
+  struct PageDraft;
   std::optional<PendingTransaction> page_transaction(Index page, double now);
+  void draft_entries(const Page& page, PageDraft& draft);
+  void add_starts(PageDraft& draft, InFlightTransaction& f);
+  ledger::Chunk durable_chunk(const Job& job, uint32_t first, uint32_t count) const;
+  size_t durable_size(const Job& job, uint32_t first) const;
+  size_t durable_size(const Page& page) const;
+  size_t page_room() const;
+  void split_large_chunks(Index page);
+  void split_chunk(Job& job, uint32_t first);
+  bool relieve(Index page, double now);
+  Index empty_page(bool has_start_promise);
+  void add_to_page(Job& job, uint32_t first, Index page);
+  void remove_from_page(Job& job, uint32_t first);
+  Index next_page(double now) const;
   std::optional<PendingTransaction> closing_transaction(double now, size_t room);
+  void take_rejection(const InFlightTransaction& f);
   std::string mark_of(uint64_t txn) const;
   void fail(const std::string& why);
   void settle_page(const InFlightTransaction& f, const ledger::Result& r, double now);
@@ -330,6 +373,7 @@
   bool warm(const Job& job, const Machine& m) const;
   void claim(const Job& job, const std::vector<Place>& free, double now);
   void place_job(Job& job, double now, int& budget, bool preempt);
+  static bool lacks_what_it_takes(const Job& job, const Amounts& room, const Job& victim);
   std::vector<Eviction> evictions(const Job& job, double now);
   void gather_open(double now);
   Amounts free_on(const Machine& m) const;
@@ -351,6 +395,22 @@
   double urgency(const Job& job, double now) const;
   void sort_jobs(double now);
 
+  // -- services.cpp
+  struct ReplicaCounts {
+    std::map<Index, uint32_t> by_machine, by_zone;
+  };
+  double replica_score(const Job& job, const Place& place, const ReplicaCounts& counts) const;
+  bool place_service(Job& job, double now, int& budget);
+  void back_off_replica(Job& job, const Attempt& a, double now);
+  void note_replica_runs(Machine& m, Job& job, Attempt& a, double now);
+  uint32_t missing_replicas(const Job& job) const;
+  bool may_move_replica(const Job& job) const;
+  bool has_other_place(const Job& job, const Machine& from, double now) const;
+  bool holds_replicas(const Machine& m) const;
+  bool holds_replicas_alone(const Machine& m) const;
+  void move_replicas(Machine& m, double now);
+  void recall_replica(Job& job, Attempt& a, double notice_s);
+
   // -- fleet.cpp
   // How many machines of a type a zone has, by (type, zone); those that are gone left out.
   using MachineCounts = std::map<std::pair<Index, Index>, size_t>;
@@ -404,6 +464,7 @@
   double started_;
   double announce_token_at_ = 0;
   bool lost_ = false;
+  bool has_lowered_limits_ = false;
   bool wants_round_ = false;
   bool may_start_ = true;
   bool many_silent_ = false;
@@ -461,6 +522,8 @@
   };
   std::map<uint64_t, InFlightTransaction> in_flight_transactions_;
   std::vector<Page> pages_;
+  // The last write of a page that cannot be read: it may hold tasks of any job of before.
+  uint64_t unreadable_revision_ = 0;
   std::set<Index> closing_;    // jobs all of whose tasks are done
   double closing_since_ = -1;  // the oldest of them
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -27,6 +27,8 @@
 // The share of machines that has to be silent, beyond two, for a common cause to be likely: single
 // ones fail by a few in an hour.
 constexpr double kManyShare = 0.05;
+// In machines' shares: how much rather one without replicas of services is drained than one with.
+constexpr double kKeepReplicas = 10;
 // Of machines that acknowledge no command, for the cause to be our own slowness.
 constexpr double kOursShare = 0.15;
 // What replacing a machine takes, in boot times: until it is up and has fetched its first image.
@@ -392,20 +394,29 @@
       ++per_zone[m->zone];
       ordinary_in[m->zone] += !m->spot;
       // Of equally empty ones, the dearer goes first.
-      if (m->state == MachineState::ready)
-        emptiest.emplace_back(m->used.share_of(types_[t].size) + (m->spot ? 1e-3 : 0), m->index);
+      if (m->state != MachineState::ready) continue;
+      const double keep = holds_replicas(*m) ? kKeepReplicas : 0;
+      emptiest.emplace_back(m->used.share_of(types_[t].size) + (m->spot ? 1e-3 : 0) + keep,
+                            m->index);
     }
+    // Each replica that moves is missed meanwhile: machines with some go one at a time.
+    bool replicas_move = std::any_of(machines_.begin(), machines_.end(), [this](const auto& m) {
+      return m->state == MachineState::draining && holds_replicas(*m);
+    });
     std::sort(emptiest.begin(), emptiest.end());
     const double surplus = static_cast<double>(total) - s.target;
     double left = std::max(1.0, std::ceil(kDrainShare * surplus));
     for (const auto& [filled, i] : emptiest) {
       if (left <= 0) break;
       Machine& m = *machines_[i];
+      const bool with_replicas = holds_replicas(m);
+      if (with_replicas && (replicas_move || !holds_replicas_alone(m))) continue;
       if (!m.spot && static_cast<double>(ordinary) <= need) continue;
       if (auto b = s.bound.find(m.zone); b != s.bound.end()) {
         if (per_zone[m.zone] <= floor_of(t, b->second, false)) continue;
         if (!m.spot && ordinary_in[m.zone] <= floor_of(t, b->second, true)) continue;
       }
+      replicas_move = replicas_move || with_replicas;
       --per_zone[m.zone];
       ordinary_in[m.zone] -= !m.spot;
       if (!m.spot) --ordinary;
@@ -493,6 +504,8 @@
         } else if (m.state == MachineState::draining) {
           if (m.tasks.empty() && !m.has_unknown_tasks) {
             terminate(m, "drained");
+          } else if (holds_replicas_alone(m)) {
+            move_replicas(m, now);
           } else if (now - m.draining_since > settings_.tuning.drain_deadline_s) {
             for (const auto& [j, t] : m.tasks) {
               Job& job = *jobs_[j];
@@ -633,7 +646,7 @@
   f.kind = InFlightTransaction::Kind::fleet;
   f.txn.mark = mark_of(id);
   f.txn.conditions = {{ledger::kLeaderKey, token_}};
-  rented_list_.write(now, settings_.txn_ops, listed, type_names_, zone_names_, f.txn);
+  rented_list_.write(now, settings_.lasting_txn_ops(), listed, type_names_, zone_names_, f.txn);
   PendingTransaction p{id, f.txn, false};
   in_flight_transactions_[id] = std::move(f);
   return p;
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -98,6 +98,7 @@
 namespace {
 
 constexpr double kMostAmount = 1e12;
+constexpr size_t kPartEntrySize = 7;  // fields of a page's entry that is a part of a chunk
 
 // The library turns -1 into a huge count, true into 1 and 2.5 into 2, and takes NaN for an amount;
 // these take nothing but what encode() writes.
@@ -143,24 +144,27 @@
 }
 
 json encode_spec(const JobSpec& s) {
-  return {{"lot", s.job_class},
-          {"team", s.team},
-          {"image", s.image},
-          {"zone", s.zone},
-          {"gang", s.shape == Shape::gang},
-          {"rank", static_cast<int>(s.rank)},
-          {"cpus", s.each.cpus},
-          {"gpus", s.each.gpus},
-          {"mem", s.each.mem},
-          {"image_gb", s.image_gb},
-          {"types", s.types},
-          {"one_zone", s.one_zone},
-          {"scatter", s.scatter},
-          {"spot", s.spot},
-          {"estimate", s.estimate_s},
-          {"checkpoint", s.checkpoint_s},
-          {"save", s.save_s},
-          {"due", s.due_s}};
+  json out = {{"lot", s.job_class},
+              {"team", s.team},
+              {"image", s.image},
+              {"zone", s.zone},
+              {"gang", s.shape == Shape::gang},
+              {"rank", static_cast<int>(s.rank)},
+              {"cpus", s.each.cpus},
+              {"gpus", s.each.gpus},
+              {"mem", s.each.mem},
+              {"image_gb", s.image_gb},
+              {"types", s.types},
+              {"one_zone", s.one_zone},
+              {"scatter", s.scatter},
+              {"spot", s.spot},
+              {"estimate", s.estimate_s},
+              {"checkpoint", s.checkpoint_s},
+              {"save", s.save_s},
+              {"due", s.due_s}};
+  // Version 0.1 knows no services and reads past this field (docs/operations.md, "Upgrading").
+  if (s.shape == Shape::service) out["service"] = true;
+  return out;
 }
 
 JobSpec decode_spec(const std::string& id, uint32_t tasks, const json& v) {
@@ -172,6 +176,7 @@
   v.at("image").get_to(s.image);
   v.at("zone").get_to(s.zone);
   s.shape = v.at("gang").get<bool>() ? Shape::gang : Shape::array;
+  if (v.value("service", false)) s.shape = Shape::service;
   s.rank = static_cast<Rank>(whole(v.at("rank"), 0, 3));
   s.each = {amount(v.at("cpus")), amount(v.at("gpus")), amount(v.at("mem"))};
   s.image_gb = amount(v.at("image_gb"));
@@ -198,6 +203,17 @@
   return out;
 }
 
+size_t encoded_size(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace).size();
+}
+
+void shorten_cancelled(JobRow& row, size_t value_bytes) {
+  if (!row.spec || encoded_size(encode(row)) + kFrame <= value_bytes) return;
+  row.spec->job_class.clear();
+  row.spec->image.clear();
+  row.spec->types.clear();
+}
+
 std::optional<JobRow> decode_job(const std::string& id, const json& v) {
   try {
     JobRow row;
@@ -220,8 +236,12 @@
     json live = json::array();
     for (const Live& l : e.chunk.live)
       live.push_back(json::array({l.task, l.attempt, l.machine, l.session}));
-    entries.push_back(
-        json::array({e.job, e.n, e.chunk.top, e.chunk.done.encode(), std::move(live)}));
+    json entry = json::array({e.job, e.n, e.chunk.top, e.chunk.done.encode(), std::move(live)});
+    if (e.part) {
+      entry.push_back(e.part->first);
+      entry.push_back(e.part->count);
+    }
+    entries.push_back(std::move(entry));
   }
   return {{"e", std::move(entries)}, {"w", page.mark}};
 }
@@ -239,6 +259,8 @@
       for (const json& l : e.at(4))
         out.chunk.live.push_back({task_number(l.at(0)), whole(l.at(1), 0, kMostAttempts),
                                   name(l.at(2)), whole(l.at(3), 0, UINT64_MAX)});
+      if (e.size() >= kPartEntrySize)
+        out.part = Part{task_number(e.at(5)), static_cast<uint32_t>(whole(e.at(6), 1, kMostTasks))};
       p.entries.push_back(std::move(out));
     }
     p.mark = v.value("w", "");
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -7,7 +7,8 @@
 //   rd/j/<job>       a job: its description until it is done, its final state for ever
 //   rd/t/<n>         a page: chunks of several jobs' tasks. A chunk is the tasks [k*per, (k+1)*per)
 //                    of a job: which are done, which attempts may be on which machine, the
-//                    highest attempt number ever used
+//                    highest attempt number ever used. Of two pages that hold the same tasks, the
+//                    one that was written last counts: a chunk moves by being written elsewhere.
 //   rd/f/<n>         names of rented machines (the design's rented list)
 //
 // A job's tasks are chunked because jobs go to 100,000 tasks and a value has a size limit; chunks
@@ -74,10 +75,19 @@
   uint64_t top = 0;  // highest attempt number used in this chunk
 };
 
+// Some of a chunk's tasks: [first, first + count).
+struct Part {
+  uint32_t first = 0, count = 0;
+};
+
 struct PageEntry {
   std::string job;
   uint32_t n = 0;
   Chunk chunk;
+  // Only this part of the chunk lies here; empty: all of it. Written only once the state service
+  // has lowered its limits, which it does after all replicas know of parts: version 0.1 would take
+  // a part for the whole.
+  std::optional<Part> part;
 };
 struct Page {
   std::vector<PageEntry> entries;
@@ -108,6 +118,11 @@
 
 json encode(const JobRow& row);
 json encode(const Page& page);
+// The bytes that a value takes, as the state service counts them.
+size_t encoded_size(const json& value);
+// Leaves out of a cancelled job's description what limits and zones do not need, if the row would
+// be larger than that: rows that were written under larger limits can still be cancelled.
+void shorten_cancelled(JobRow& row, size_t value_bytes);
 // Empty: it cannot be read, and nothing of it is believed.
 std::optional<JobRow> decode_job(const std::string& id, const json& v);
 std::optional<Page> decode_page(const json& v);
@@ -136,6 +151,7 @@
   applied,   // it was executed
   conflict,  // a condition failed; it never will be executed
   refused,   // it was not executed
+  rejected,  // as refused, and no repeat will ever be executed: it is too large or malformed
   unknown    // it may have been executed, or may be later
 };
 struct Result {
--- a/src/core/mirror.cpp
+++ b/src/core/mirror.cpp
@@ -21,12 +21,13 @@
   // fails on it steps down, and so would all its successors.
   page.version = version;
   auto read = ledger::decode_page(value);
+  page.readable = read.has_value();
   if (!read) {
     spdlog::error("ledger: page {} cannot be read", n);
     return;
   }
   for (const auto& [id, k] : page.holds) {
-    // Another page may have claimed it since.
+    // Another page may have taken it over since.
     auto job = jobs_.find(id);
     if (job == jobs_.end()) continue;
     if (auto c = job->second.chunks.find(k); c != job->second.chunks.end() && c->second.page == n)
@@ -34,8 +35,13 @@
   }
   page.holds.clear();
   for (ledger::PageEntry& e : read->entries) {
-    page.holds.emplace_back(e.job, e.n);
-    jobs_[e.job].chunks[e.n] = {n, std::move(e.chunk)};
+    ChunkKey key{e.n, std::nullopt};
+    if (e.part) key.part_first = e.part->first;
+    MirrorChunk& chunk = jobs_[e.job].chunks[key];
+    // It was moved, and this page not written since (core/ledger.h).
+    if (chunk.page != n && chunk.version > version) continue;
+    chunk = {n, version, std::move(e.chunk), e.part};
+    page.holds.emplace_back(e.job, key);
   }
 }
 
@@ -46,6 +52,7 @@
     MirrorJob& job = jobs_[id];
     if (version <= job.version) return;
     auto row = ledger::decode_job(id, value);
+    job.readable = row.has_value();
     if (!row) {
       spdlog::error("ledger: row {} cannot be read", key);
       return;
@@ -117,6 +124,11 @@
   return it == jobs_.end() || it->second.version == 0 ? nullptr : &it->second;
 }
 
+bool Mirror::unreadable(const std::string& id) const {
+  auto it = jobs_.find(id);
+  return it != jobs_.end() && !it->second.readable;
+}
+
 std::optional<JobAnswer> Mirror::answer(const std::string& id) const {
   const MirrorJob* j = job(id);
   if (!j) return std::nullopt;
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -2,6 +2,7 @@
 // A node's copy of the ledger's rows, fed by the watch. Polls are answered from it, but only
 // after a read barrier (invariant 5); a new leader is built from it.
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,20 +16,32 @@
 
 namespace rookdyke {
 
+// Which tasks of a job an entry of a page is about.
+struct ChunkKey {
+  uint32_t n = 0;
+  std::optional<uint32_t> part_first;  // empty: the whole chunk
+
+  auto operator<=>(const ChunkKey&) const = default;
+};
+
 struct MirrorChunk {
-  uint32_t page = 0;  // a chunk stays in its page for the whole life of its job
+  uint32_t page = 0;
+  uint64_t version = 0;  // of the page, as this was written
   ledger::Chunk chunk;
+  std::optional<ledger::Part> part;
 };
 
 struct MirrorPage {
   uint64_t version = 0;
-  std::vector<std::pair<std::string, uint32_t>> holds;  // (job, chunk)
+  bool readable = true;
+  std::vector<std::pair<std::string, ChunkKey>> holds;  // (job, chunk)
 };
 
 struct MirrorJob {
   uint64_t version = 0;  // 0: only its chunks are known
   ledger::JobRow row;
-  std::map<uint32_t, MirrorChunk> chunks;
+  std::map<ChunkKey, MirrorChunk> chunks;
+  bool readable = true;
 };
 
 struct JobAnswer {
@@ -48,6 +61,8 @@
 
   std::optional<JobAnswer> answer(const std::string& job) const;
   const MirrorJob* job(const std::string& id) const;
+  // Whether there is such a job, but its row cannot be read: it is neither known nor unknown.
+  bool unreadable(const std::string& id) const;
   const std::unordered_map<std::string, MirrorJob>& jobs() const { return jobs_; }
 
   const std::string& leader() const { return leader_; }  // label, empty: none
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -58,6 +58,8 @@
 // there.
 constexpr double kStartTime = 1.5;
 constexpr double kWarmStartTime = 3;
+// In seconds of lost work: a replica is stopped for others only where nothing else would do.
+constexpr double kReplicaCost = 1e4;
 // Room is made by stopping others no more often than this.
 constexpr double kPreemptEvery = 0.2;
 
@@ -84,6 +86,8 @@
 // by when that promise runs out. All others, and those that missed it, go by age, yet a job with
 // much work left stands back for small ones: of a queue that cannot all be in time, most are then.
 double Core::urgency(const Job& job, double now) const {
+  // What waits of a service is a replica that is missing now, however old the service is.
+  if (job.service()) return std::max(job.seen_at, job.missing_since) - now - kStartPromiseFirst;
   const double age = now - job.seen_at;
   for (const double within : job.start_within) {
     if (within <= age) continue;
@@ -195,7 +199,7 @@
     }
     s += same ? 0.5 * fetch : fetch * (1.0 + static_cast<double>(others));
   }
-  if (job.spec.spot && !m.spot) s += kSpotPreference;
+  if (job.spec.spot && !m.spot && !job.service()) s += kSpotPreference;
   if (!job.has_start_promise)
     for (const auto& [i, e] : m.images)
       if (i != job.image && start_promise_images_.count(i))
@@ -342,7 +346,7 @@
 // long.
 bool Core::needs_warm(const Job& job, double now) const {
   const double age = now - job.seen_at;
-  if (!job.has_start_promise || !job.attempts.empty()) return false;
+  if (!job.has_start_promise || !job.attempts.empty() || job.service()) return false;
   for (const double within : job.start_within) {
     if (within <= age) continue;
     double fetch = 0;
@@ -449,6 +453,14 @@
   return false;
 }
 
+// Whether there is too little room for a task of the job of something that the victim holds.
+bool Core::lacks_what_it_takes(const Job& job, const Amounts& room, const Job& victim) {
+  const Amounts& wanted = job.spec.each;
+  const Amounts& held = victim.spec.each;
+  return (held.cpus > 0 && wanted.cpus > room.cpus) || (held.gpus > 0 && wanted.gpus > room.gpus) ||
+         (held.mem > 0 && wanted.mem > room.mem);
+}
+
 // Where room for one task of the job could be made, where the least work is lost by it first.
 std::vector<Core::Eviction> Core::evictions(const Job& job, double now) {
   std::vector<Eviction> out;
@@ -474,8 +486,11 @@
       }
       if (a.state == AttemptState::proposed || a.shielded || v.gang() || !may_stop(job, v))
         continue;
+      if (v.service() && !lacks_what_it_takes(job, room, v)) continue;
       double lost = 0;
-      if (a.state == AttemptState::running)
+      if (v.service())
+        lost = kReplicaCost;
+      else if (a.state == AttemptState::running)
         lost = v.spec.checkpoint_s > 0 ? 1 + v.spec.save_s : 5 + now - a.running_since;
       victims.push_back({lost, j, t});
     }
@@ -557,6 +572,7 @@
   for (const auto& [j, t] : m.tasks) {
     const Job& other = *jobs_[j];
     const Attempt& a = other.attempts.at(t);
+    if (other.service() && !a.stop) continue;  // it does not end of itself
     const double since = a.state == AttemptState::running ? a.running_since : now;
     ends.emplace_back(a.stop ? now : std::max(since + other.spec.estimate_s, now + 3), &other);
   }
@@ -664,8 +680,9 @@
 void Core::place_job(Job& job, double now, int& budget, bool preempt) {
   ++work_.jobs_looked_at;
   const bool warm_only = needs_warm(job, now);
-  const bool placed = job.gang() ? place_gang(job, now, budget, warm_only)
-                                 : place_array(job, now, budget, warm_only);
+  const bool placed = job.gang()      ? place_gang(job, now, budget, warm_only)
+                      : job.service() ? place_service(job, now, budget)
+                                      : place_array(job, now, budget, warm_only);
   if (placed || !preempt) return;
   preempt_for(job, now, warm_only);
   if (!warm_only) set_aside(job, now);
--- a/src/core/rented_list.cpp
+++ b/src/core/rented_list.cpp
@@ -54,11 +54,12 @@
     if (!number) continue;
     const auto& [revision, value] = row;
     revisions_[key] = revision;
-    changed_.insert(*number);
-    if (!value.contains("machines") || !value["machines"].is_array()) {
+    if (!value.is_object() || !value.contains("machines") || !value["machines"].is_array()) {
       spdlog::error("ledger: row {} cannot be read", key);
+      unreadable_.insert(*number);
       continue;
     }
+    changed_.insert(*number);
     for (const json& group : value["machines"]) decode_group(group, types, zones, machines);
   }
   return machines;
@@ -97,6 +98,7 @@
   while (!changed_.empty() && transaction.changes.size() < most) {
     const uint32_t row = *changed_.begin();
     changed_.erase(changed_.begin());
+    if (unreadable_.count(row)) continue;
     const std::string key = ledger::fleet_key(row);
     const auto known = revisions_.find(key);
     transaction.conditions.push_back({key, known == revisions_.end() ? 0 : known->second});
--- a/src/core/rented_list.h
+++ b/src/core/rented_list.h
@@ -58,7 +58,8 @@
                             const Names& zones) const;
 
   uint32_t machines_per_row_;
-  std::set<uint32_t> changed_;  // rows
+  std::set<uint32_t> changed_;     // rows
+  std::set<uint32_t> unreadable_;  // rows that are never written
   std::map<std::string, uint64_t> revisions_;
   std::optional<double> written_at_;  // when the last write began
   bool in_flight_ = false;
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -164,6 +164,7 @@
     const AttemptState to = phase(t.seen);
     if (to == AttemptState::running && a.state != AttemptState::running) a.running_since = now;
     if (a.state == AttemptState::placed || to >= a.state) set_state(job, a, to);
+    if (job.service()) note_replica_runs(m, job, a, now);
     if (t.seen != Seen::pulling) touch_image(m, job, now);
     return;
   }
@@ -191,6 +192,10 @@
   for (const auto& [j, t] : m.tasks) {
     Job& job = *jobs_[j];
     Attempt& a = job.attempts.at(t);
+    if (job.service()) {
+      recall_replica(job, a, notice_s);
+      continue;
+    }
     const bool can_save = job.spec.checkpoint_s > 0 && a.state == AttemptState::running;
     if (can_save) {
       if (job.spec.save_s + kGraceMargin < notice_s)
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -1,6 +1,9 @@
 #pragma once
 // What steers the core: the platform's parameters and the operators' tuning (INI).
 
+#include <algorithm>
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +43,13 @@
   double within_s = 0;
 };
 
+// What the state service takes: bytes of a value, changes of a transaction, changes a second.
+struct StateLimits {
+  size_t value_bytes = 8192;
+  size_t txn_ops = 8;
+  double write_rps = 35;
+};
+
 struct Settings {
   std::string label;
   std::vector<Objective> objectives;
@@ -49,7 +59,17 @@
   double list_lag_s = 3;
   size_t value_bytes = 8192;
   size_t txn_ops = 8;
+  // The limits that the state service will have from some unknown moment on; empty: they stay.
+  std::optional<StateLimits> next_limits;
   Tuning tuning;
+
+  // The sizes that hold before and after that moment: what is laid out anew keeps to them.
+  size_t lasting_value_bytes() const {
+    return next_limits ? std::min(value_bytes, next_limits->value_bytes) : value_bytes;
+  }
+  size_t lasting_txn_ops() const {
+    return next_limits ? std::min(txn_ops, next_limits->txn_ops) : txn_ops;
+  }
 };
 
 }  // namespace rookdyke
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -34,7 +34,9 @@
   std::vector<std::string> names_;
 };
 
-enum class Shape : uint8_t { array, gang };
+// array: independent tasks; gang: all run at the same time or none does; service: replicas that run
+// until the job is cancelled.
+enum class Shape : uint8_t { array, gang, service };
 enum class Rank : uint8_t { idle, standard, urgent, critical };
 
 struct Amounts {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -50,6 +50,11 @@
 constexpr uint64_t kMostBehind = 200;
 constexpr double kPulseEvery = 0.25;  // the process looks at itself this often (core/lease_clock.h)
 
+std::optional<double> next_write_rps(const Settings& settings) {
+  if (!settings.next_limits) return std::nullopt;
+  return settings.next_limits->write_rps;
+}
+
 std::vector<std::string> labels_of(const std::vector<Sibling>& siblings) {
   std::vector<std::string> labels;
   labels.reserve(siblings.size());
@@ -77,7 +82,7 @@
 
 Node::Node(Config config)
     : config_(std::move(config)),
-      state_budgets_(config_.state_rps, config_.write_rps),
+      state_budgets_(config_.state_rps, config_.write_rps, next_write_rps(config_.core)),
       cloud_budget_(config_.cloud_rps),
       state_connections_(config_.state, state_budgets_, kUserConnections),
       user_api_(config_.core, *this),
@@ -303,7 +308,14 @@
 
 std::string Node::new_mark() { return incarnation_ + "." + std::to_string(++marks_); }
 
+void Node::lower_sizes() {
+  sizes_lowered_ = true;
+  if (core_) core_->lower_limits();
+}
+
 void Node::share_writes() {
+  if (state_budgets_.has_lowered_write_rate())
+    write_share_.lower_limit(config_.core.next_limits->write_rps);
   const std::string leader = leads() ? config_.core.label : highest_leader_;
   state_budgets_.writes.set_share(write_share_.share(leader, steady_now()));
 }
@@ -367,6 +379,7 @@
   core_->set_day_offset(
       std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() -
       now);
+  if (sizes_lowered_) core_->lower_limits();
   core_->load(mirror_, now);
   if (image_hints_token_ > 0) core_->take_image_hints(image_hints_, now);
   highest_token_ = std::max(highest_token_, token_);
@@ -620,7 +633,13 @@
         p->repeat ? client.commit_repeated(p->txn, 2.0) : client.commit(p->txn, 2.0);
     lock.lock();
     if (r.outcome == ledger::Outcome::applied) state_ok_at_ = steady_now();
-    if (core_ && token_ == token) core_->on_result(p->id, r, steady_now());
+    if (core_ && token_ == token) {
+      core_->on_result(p->id, r, steady_now());
+      if (core_->has_lowered_limits() && !sizes_lowered_) {
+        sizes_lowered_ = true;
+        mesh_cv_.notify_all();  // the siblings are to know it too
+      }
+    }
     direct_cv_.notify_one();
     if (r.outcome == ledger::Outcome::refused || r.outcome == ledger::Outcome::unknown)
       wait_for(lock, commit_cv_, 0.1);
@@ -764,6 +783,8 @@
   v.read_to = cancellation_gate_.leader_read_to();
   v.state_ok = steady_now() - state_ok_at_ < kStateFresh;
   v.writes = write_share_.own_demand();
+  v.rate_lowered = state_budgets_.has_lowered_write_rate();
+  v.sizes_lowered = sizes_lowered_;
   v.token = known_token();
   v.leader = highest_leader_;
   return v;
@@ -778,6 +799,8 @@
     image_hints_token_ = v.token;
   }
   write_share_.record_sibling(v.label, v.writes, steady_now());
+  if (v.rate_lowered) state_budgets_.lower_write_rate();
+  if (v.sizes_lowered) lower_sizes();
   // Together with the token below: who relies on a leader's word knows of that leader.
   cancellation_gate_.leader_has_read(v.read_to);
   if (v.token <= highest_token_) return;
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -105,6 +105,7 @@
   void on_peer_view(const mesh::View& v);
   void check_limits(size_t machines);  // engine's alone, without mutex_
   void share_writes();                 // under mutex_: by demand, as far as it is known
+  void lower_sizes();                  // under mutex_: the state service takes less at once
   bool alone(double now) const;        // no sibling answers, nor does the state service
   std::string new_mark();              // under mutex_
   mesh::View view() const;
@@ -163,6 +164,7 @@
   nlohmann::json image_hints_;      // the latest that a leader told
   uint64_t image_hints_token_ = 0;  // which one
   net::WriteShare write_share_;     // under mutex_
+  bool sizes_lowered_ = false;      // under mutex_
 };
 
 }  // namespace rookdyke
--- a/src/daemon/node_http.cpp
+++ b/src/daemon/node_http.cpp
@@ -103,7 +103,8 @@
       repeat = true;
       continue;
     }
-    if (r.outcome == Outcome::refused && repeat) return std::nullopt;
+    const bool not_this_copy = r.outcome == Outcome::refused || r.outcome == Outcome::rejected;
+    if (not_this_copy && repeat) return std::nullopt;  // but perhaps an earlier one
     return r;
   }
 }
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -27,10 +27,15 @@
 }  // namespace
 
 json encode(const View& v) {
-  json out = {{"label", v.label},     {"incarnation", v.incarnation},
-              {"read_to", v.read_to}, {"leader", v.leader},
-              {"token", v.token},     {"state_ok", v.state_ok},
-              {"writes", v.writes}};
+  json out = {{"label", v.label},
+              {"incarnation", v.incarnation},
+              {"read_to", v.read_to},
+              {"leader", v.leader},
+              {"token", v.token},
+              {"state_ok", v.state_ok},
+              {"writes", v.writes},
+              {"rate_lowered", v.rate_lowered},
+              {"sizes_lowered", v.sizes_lowered}};
   if (!v.images.is_null()) out["images"] = v.images;
   return out;
 }
@@ -57,6 +62,8 @@
     v.writes = j.value("writes", 0.0);
     if (v.writes < 0) return std::nullopt;
     v.incarnation = j.value("incarnation", "");
+    v.rate_lowered = j.value("rate_lowered", false);
+    v.sizes_lowered = j.value("sizes_lowered", false);
     if (j.contains("images")) v.images = j.at("images");
     return v;
   } catch (const json::exception&) {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -27,6 +27,9 @@
   bool state_ok = false;    // the state service answered lately
   double writes = 0;        // changes a second it has use for
   nlohmann::json images;    // from the leader, now and then: which machines hold which images
+  // The state service has lowered its limits: of changes a second, of sizes. Version 0.1 reads past
+  // these and says neither.
+  bool rate_lowered = false, sizes_lowered = false;
 };
 
 nlohmann::json encode(const View& v);
--- a/src/net/budget.h
+++ b/src/net/budget.h
@@ -22,6 +22,23 @@
     refill();
     rate_ = std::max(0.01, total_ * share);
   }
+  // The limit for all nodes together has become this; it never rises again.
+  void lower_total(double per_s) {
+    std::lock_guard lock(mutex_);
+    refill();
+    if (per_s >= total_) return;
+    rate_ *= per_s / total_;
+    total_ = per_s;
+    level_ = std::min(level_, burst());
+  }
+  // Takes n without waiting for its turn, and leaves the others to wait: for what is rare and must
+  // not be late.
+  void take_first(double n) {
+    std::lock_guard lock(mutex_);
+    refill();
+    asked_ += n;
+    level_ -= n;
+  }
   // How long until n are there.
   double wait_for(double n) {
     std::lock_guard lock(mutex_);
--- a/src/net/write_share.h
+++ b/src/net/write_share.h
@@ -2,6 +2,7 @@
 // How the changes a second that all replicas together may make are shared out: by demand, which the
 // replicas tell one another.
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -27,6 +28,9 @@
   // How many siblings said so lately, so that they can be told things, too.
   int reachable_siblings(double now) const;
 
+  // The limit for all together has become this.
+  void lower_limit(double writes_per_s) { writes_per_s_ = std::min(writes_per_s_, writes_per_s); }
+
   // This replica's share of all changes a second, 0 to 1, if that one leads (empty: unknown).
   // Submissions, which the followers write, have what they asked for lately and half as much again,
   // up to a part that depends on whether the leader has much to write; the leader has the rest.
@@ -44,7 +48,7 @@
   const std::string label_;
   const std::vector<std::string> siblings_;
   const int replicas_;
-  const double writes_per_s_;
+  double writes_per_s_;
   std::map<std::string, Demand> sibling_demands_;
   double own_demand_ = 0, own_at_ = 0;
 };
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -7,6 +7,12 @@
 using ledger::Outcome;
 using nlohmann::json;
 
+void Budgets::lower_write_rate() {
+  if (!next_write_rps_ || has_lowered_write_rate_.exchange(true)) return;
+  writes.lower_total(*next_write_rps_);
+  spdlog::info("state: {} changes a second from now on", *next_write_rps_);
+}
+
 Client::Client(const Endpoint& at, Budgets& budgets, double read_timeout_s)
     : http_(at.host, at.port), budgets_(budgets) {
   http_.set_keep_alive(true);
@@ -22,6 +28,17 @@
   Answer a;
   if (!budgets_.requests.take(1, max_wait_s)) return a;
   if (writes > 0 && !budgets_.writes.take(writes, max_wait_s)) return a;
+  return send(method, path, body, writes > 0);
+}
+
+Client::Answer Client::call_first(const char* method, const std::string& path, const json* body) {
+  budgets_.requests.take_first(1);
+  return send(method, path, body, false);
+}
+
+Client::Answer Client::send(const char* method, const std::string& path, const json* body,
+                            bool writes) {
+  Answer a;
   static const std::string type = "application/msgpack";
   const std::string payload = body ? wire::pack(*body) : std::string();
   const std::string_view verb = method;
@@ -41,7 +58,10 @@
     if (auto j = wire::unpack(r->body)) a.body = std::move(*j);
   if (a.status == 429) {
     budgets_.requests.penalty(0.2);
-    if (writes > 0) budgets_.writes.penalty(0.2);
+    if (writes) {
+      budgets_.lower_write_rate();
+      budgets_.writes.penalty(0.2);
+    }
     spdlog::warn("state: {} {}: over the rate limit", method, path);
   } else if (a.status != 200 && a.status != 409 && a.status != 404) {
     spdlog::debug("state: {} {}: {}", method, path, a.status);
@@ -60,9 +80,11 @@
   } else if (a.status == 409) {
     out.outcome = Outcome::conflict;
     out.failed = wire::parse_failed(a.body);
+  } else if (a.status == 400) {
+    out.outcome = Outcome::rejected;
+    spdlog::warn("state: a transaction is too large or malformed, or its lease is over");
   } else if (a.status != 0 || !a.sent) {
-    out.outcome = Outcome::refused;  // 503, 429, 400, or nothing was sent
-    if (a.status == 400) spdlog::warn("state: a transaction was malformed or its lease is over");
+    out.outcome = Outcome::refused;  // 503, 429, or nothing was sent
   }
   return out;
 }
@@ -119,14 +141,14 @@
 
 std::optional<uint64_t> Client::grant(double ttl_s) {
   const json body = wire::lease(ttl_s);
-  const Answer a = call("POST", "/leases", &body, 0, 0.5);
+  const Answer a = call_first("POST", "/leases", &body);
   if (a.status != 200) return std::nullopt;
   return wire::parse_lease(a.body);
 }
 
 Client::Renewal Client::renew(uint64_t lease) {
   const json body = json::object();
-  const Answer a = call("POST", "/leases/" + std::to_string(lease) + "/renew", &body, 0, 0.5);
+  const Answer a = call_first("POST", "/leases/" + std::to_string(lease) + "/renew", &body);
   if (a.status == 200) return Renewal::kept;
   if (a.status == 404) return Renewal::ended;
   return Renewal::unknown;
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -4,6 +4,7 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -15,9 +16,23 @@
 
 namespace rookdyke::state {
 
+// What all clients of a node may ask of the state service.
 struct Budgets {
-  Budgets(double rps, double write_rps) : requests(rps), writes(write_rps) {}
+  // next_write_rps: what the limit of changes a second will be from some moment on; empty: it
+  // stays.
+  Budgets(double rps, double write_rps, std::optional<double> next_write_rps = std::nullopt)
+      : requests(rps), writes(write_rps), next_write_rps_(next_write_rps) {}
+
+  // The limit of changes a second has become the next one. For good, also if that was a mistake: it
+  // never rises, and less than there is does no harm.
+  void lower_write_rate();
+  bool has_lowered_write_rate() const { return has_lowered_write_rate_; }
+
   net::Budget requests, writes;
+
+ private:
+  const std::optional<double> next_write_rps_;
+  std::atomic<bool> has_lowered_write_rate_{false};
 };
 
 class Client {
@@ -56,6 +71,9 @@
   };
   Answer call(const char* method, const std::string& path, const nlohmann::json* body,
               double writes, double max_wait_s);
+  // A request about a lease: it waits behind no others.
+  Answer call_first(const char* method, const std::string& path, const nlohmann::json* body);
+  Answer send(const char* method, const std::string& path, const nlohmann::json* body, bool writes);
 
   httplib::Client http_;
   Budgets& budgets_;
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -209,9 +209,9 @@
   name("shape", word);
   if (word == "ensemble")
     s.shape = Shape::gang;
-  else if (word != "array" && word != "service")
-    // The protocol page names no services, but users submit them (docs/questions.md): tasks that
-    // run until they are cancelled, scheduled like those of an array.
+  else if (word == "service")
+    s.shape = Shape::service;
+  else if (word != "array")
     error = "shape";
   word.clear();
   name("rank", word);
