--- a/tests/checker.h
+++ b/tests/checker.h
@@ -93,6 +93,7 @@
   void check_order(double now, JobTruth& j, const std::string& answer, const Asked& when);
   // Why it can never run; empty: it can.
   std::string unfit(const JobTruth& j) const;
+  static bool is_served(const JobTruth& j);
   const TeamInfo* team(const std::string& name) const;
   bool finds_room(const JobSpec& spec, const std::vector<Room>& rooms) const;
 
