--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -226,7 +226,7 @@
     job.chunks[first] = {piece.end - first, kNone};
     if (piece.chunk->page >= pages_.size()) pages_.resize(piece.chunk->page + 1);
     add_to_page(job, first, piece.chunk->page);
-    pages_[piece.chunk->page].has_start_promise = job.has_start_promise;
+    pages_[piece.chunk->page].kind = job.page_kind();
     add_tasks(job, first, piece.end, piece.chunk->chunk, now);
     next = piece.end;
   }
@@ -371,7 +371,7 @@
 // job's row that they mean nothing.
 void Core::erase_job(Job& job) {
   const Index id = job.id;
-  for (const auto& [first, place] : job.chunks) remove_from_page(job, first);
+  drop_from_pages(job);
   closing_.erase(id);
   finished_[id] = true;
   --open_jobs_;
@@ -415,7 +415,7 @@
   // A task that has to run again waits for this write.
   Wait waits = cause != Cause::done ? Wait::again : Wait::nobody;
   if (job.service()) {
-    waits = Wait::promised;
+    waits = Wait::replica;
     job.missing_since = now;
   }
   mark_dirty(job, task, waits, now);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -53,6 +53,10 @@
   bool direct = false;  // a `run` sent straight to its worker may still be executed
 };
 
+// Whose chunks share a page: those that are written in a hurry are not held up by, or do not have
+// to carry, those that are not.
+enum class PageKind : uint8_t { usual, promised, service };
+
 // The page that some consecutive tasks of a job lie in; kNone: never written.
 struct ChunkPlace {
   uint32_t count = 0;  // of tasks
@@ -93,6 +97,10 @@
   std::set<Index> erred_on;  // machines where it failed since it last succeeded
   uint32_t errors = 0;
   uint32_t tasks() const { return spec.tasks; }
+  PageKind page_kind() const {
+    if (service()) return PageKind::service;
+    return has_start_promise ? PageKind::promised : PageKind::usual;
+  }
   bool gang() const { return spec.shape == Shape::gang; }
   bool over() const { return state == JobState::done || state == JobState::aborted; }
   bool stale() const { return stale_since >= 0; }
@@ -104,9 +112,9 @@
   }
 };
 
-// Who waits for a change to become durable, most impatient first: tasks promised a prompt start,
-// other starts, tasks that have to start again, nobody.
-enum class Wait : uint8_t { promised, start, again, nobody };
+// Who waits for a change to become durable, most impatient first: replicas of services, tasks
+// promised a prompt start, other starts, tasks that have to start again, nobody.
+enum class Wait : uint8_t { replica, promised, start, again, nobody };
 
 // A row of the ledger that holds chunks of several jobs; at most one write of it is under way.
 struct Page {
@@ -120,9 +128,9 @@
   // these are written; and the page that this one took such chunks from.
   uint32_t awaits = 0;
   Index relieves = kNone;
-  double dirty_since = -1;         // negative: nothing to write
-  Wait waits = Wait::nobody;       // for what is to be written
-  bool has_start_promise = false;  // holds only chunks of classes with a start promise
+  double dirty_since = -1;    // negative: nothing to write
+  Wait waits = Wait::nobody;  // for what is to be written
+  PageKind kind = PageKind::usual;
   double retry_at = 0;
 };
 
@@ -311,7 +319,7 @@
   void stop_attempt(Job& job, Attempt& a, double grace);
   void stop_with_gang(Job& job, Attempt& a, double grace);
   void mark_dirty(Job& job, uint32_t task, Wait waits, double now);
-  Index page_for(size_t bytes, bool has_start_promise);
+  Index page_for(size_t bytes, PageKind kind);
   bool proposal_stands(const Attempt& a) const;
   void void_proposals(Job& job, bool all);
   // -- transactions.cpp
@@ -326,9 +334,10 @@
   void split_large_chunks(Index page);
   void split_chunk(Job& job, uint32_t first);
   bool relieve(Index page, double now);
-  Index empty_page(bool has_start_promise);
+  Index empty_page(PageKind kind);
   void add_to_page(Job& job, uint32_t first, Index page);
   void remove_from_page(Job& job, uint32_t first);
+  void drop_from_pages(Job& job);
   Index next_page(double now) const;
   std::optional<PendingTransaction> closing_transaction(double now, size_t room);
   void take_rejection(const InFlightTransaction& f);
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -297,7 +297,10 @@
   m.tasks.emplace_back(job.id, task);
   m.used += job.spec.each;
   team_used_[job.team] += job.spec.each;
-  mark_dirty(job, task, job.has_start_promise ? Wait::promised : Wait::start, now);
+  const Wait waits = job.service()           ? Wait::replica
+                     : job.has_start_promise ? Wait::promised
+                                             : Wait::start;
+  mark_dirty(job, task, waits, now);
   spdlog::debug("task {}/{} attempt {}: proposed for {}", job.spec.id, task, number, m.name);
 }
 
--- a/src/core/transactions.cpp
+++ b/src/core/transactions.cpp
@@ -12,12 +12,14 @@
 
 namespace {
 
-// Ends that nobody waits for are gathered this long before their page is written.
-constexpr double kGatherEnds = 2;
+// Ends that nobody waits for are gathered this long before their page is written: their workers
+// list them until then, so that a new leader hears of them all the same.
+constexpr double kGatherEnds = 8;
 constexpr size_t kMostClosings = 16;
 constexpr double kGatherClosings = 0.5;
 constexpr size_t kLeastClosings = 4;  // at once, whatever is left of the rate of changes
-// What has waited this long goes first, whoever waits for it: nothing is put off for ever.
+// What has waited this long goes as if somebody more impatient waited for it: nothing is put off
+// for ever. Replicas go first all the same; they are few.
 constexpr double kPutOff = 4;
 constexpr size_t kConditionsPerChange = 4;  // the state service's limit
 constexpr double kRetryRefused = 0.25;
@@ -48,31 +50,31 @@
 }
 
 // Promised starts have pages of their own, so that one write makes many of them durable.
-Index Core::page_for(size_t bytes, bool has_start_promise) {
+Index Core::page_for(size_t bytes, PageKind kind) {
   const size_t room = ledger::page_room(settings_.lasting_value_bytes());
   for (Index i = 0; i < pages_.size(); ++i) {
     Page& page = pages_[i];
     if (!page.readable || page.awaits > 0) continue;
-    if (page.has_start_promise != has_start_promise && !page.members.empty()) continue;
+    if (page.kind != kind && !page.members.empty()) continue;
     if (page.reserved + bytes > room) continue;
-    page.has_start_promise = has_start_promise;
+    page.kind = kind;
     return i;
   }
   pages_.emplace_back();
-  pages_.back().has_start_promise = has_start_promise;
+  pages_.back().kind = kind;
   return static_cast<Index>(pages_.size() - 1);
 }
 
-Index Core::empty_page(bool has_start_promise) {
+Index Core::empty_page(PageKind kind) {
   for (Index i = 0; i < pages_.size(); ++i) {
     Page& page = pages_[i];
     if (!page.members.empty() || !page.unreadable_jobs.empty() || !page.readable) continue;
     if (page.in_flight || page.awaits > 0 || page.relieves != kNone) continue;
-    page.has_start_promise = has_start_promise;
+    page.kind = kind;
     return i;
   }
   pages_.emplace_back();
-  pages_.back().has_start_promise = has_start_promise;
+  pages_.back().kind = kind;
   return static_cast<Index>(pages_.size() - 1);
 }
 
@@ -91,10 +93,23 @@
   place.page = kNone;
 }
 
+// What a page says of jobs that are over is of no use: it need not be written for them alone.
+void Core::drop_from_pages(Job& job) {
+  for (const auto& [first, place] : job.chunks) {
+    const Index i = place.page;
+    remove_from_page(job, first);
+    if (i == kNone) continue;
+    Page& page = pages_[i];
+    if (!page.members.empty() || page.relieves != kNone || page.awaits > 0) continue;
+    page.dirty_since = -1;
+    page.waits = Wait::nobody;
+  }
+}
+
 void Core::mark_dirty(Job& job, uint32_t task, Wait waits, double now) {
   const uint32_t first = job.chunk_of(task);
   if (job.chunks.at(first).page == kNone)
-    add_to_page(job, first, page_for(job.chunk_bytes(first), job.has_start_promise));
+    add_to_page(job, first, page_for(job.chunk_bytes(first), job.page_kind()));
   Page& page = pages_[job.chunks.at(first).page];
   if (page.dirty_since < 0) page.dirty_since = now;
   page.waits = std::min(page.waits, waits);
@@ -191,7 +206,7 @@
     const bool fits = to != kNone && filled + bytes <= room &&
                       pages_[to].reserved + job.chunk_bytes(first) <= room;
     if (!fits) {
-      to = empty_page(pages_[i].has_start_promise);
+      to = empty_page(pages_[i].kind);
       filled = 0;
       pages_[to].relieves = i;
       pages_[to].dirty_since = now;
@@ -318,7 +333,7 @@
   Page& page = pages_[i];
   page.in_flight = true;
   page.dirty_since = draft.left_out ? now : -1;
-  page.waits = draft.left_out ? Wait::start : Wait::nobody;
+  page.waits = draft.left_out ? Wait::promised : Wait::nobody;
   if (draft.left_out) page.retry_at = now + 0.1;
   PendingTransaction p{id, f.txn, false};
   in_flight_transactions_[id] = std::move(f);
@@ -365,7 +380,10 @@
 Index Core::next_page(double now) const {
   Index pick = kNone;
   const auto key = [now](const Page& p) {
-    return std::make_pair(now - p.dirty_since > kPutOff ? Wait::promised : p.waits, p.dirty_since);
+    const int steps = static_cast<int>((now - p.dirty_since) / kPutOff);
+    const int most = static_cast<int>(Wait::promised);
+    const int waits = static_cast<int>(p.waits);
+    return std::make_pair(waits <= most ? waits : std::max(most, waits - steps), p.dirty_since);
   };
   for (Index i = 0; i < pages_.size(); ++i) {
     const Page& p = pages_[i];
@@ -483,7 +501,7 @@
     if (r.outcome == Outcome::rejected)
       page.retry_at = now + (durable_size(page) > page_room() ? 0 : kRetryRejected);
     if (page.dirty_since < 0) page.dirty_since = now;
-    page.waits = Wait::promised;
+    page.waits = page.kind == PageKind::service ? Wait::replica : Wait::promised;
     for (Index j : f.jobs)
       if (Job* job = find(j); job && (job->stale() || job->over())) void_proposals(*job, true);
     return;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -314,8 +314,7 @@
 }
 
 void Node::share_writes() {
-  if (state_budgets_.has_lowered_write_rate())
-    write_share_.lower_limit(config_.core.next_limits->write_rps);
+  write_share_.set_limit(state_budgets_.update_write_rate());
   const std::string leader = leads() ? config_.core.label : highest_leader_;
   state_budgets_.writes.set_share(write_share_.share(leader, steady_now()));
 }
@@ -775,7 +774,7 @@
       {highest_token_, token_, mirror_.leader().empty() ? 0 : mirror_.leader_version()});
 }
 
-mesh::View Node::view() const {
+mesh::View Node::view() {
   std::lock_guard lock(mutex_);
   mesh::View v;
   v.label = config_.core.label;
@@ -783,7 +782,7 @@
   v.read_to = cancellation_gate_.leader_read_to();
   v.state_ok = steady_now() - state_ok_at_ < kStateFresh;
   v.writes = write_share_.own_demand();
-  v.rate_lowered = state_budgets_.has_lowered_write_rate();
+  v.rate_lowered = state_budgets_.sees_lowered_write_rate();
   v.sizes_lowered = sizes_lowered_;
   v.token = known_token();
   v.leader = highest_leader_;
@@ -799,7 +798,7 @@
     image_hints_token_ = v.token;
   }
   write_share_.record_sibling(v.label, v.writes, steady_now());
-  if (v.rate_lowered) state_budgets_.lower_write_rate();
+  if (v.rate_lowered) state_budgets_.on_sibling_refused();
   if (v.sizes_lowered) lower_sizes();
   // Together with the token below: who relies on a leader's word knows of that leader.
   cancellation_gate_.leader_has_read(v.read_to);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -108,7 +108,7 @@
   void lower_sizes();                  // under mutex_: the state service takes less at once
   bool alone(double now) const;        // no sibling answers, nor does the state service
   std::string new_mark();              // under mutex_
-  mesh::View view() const;
+  mesh::View view();
   bool leads() const { return role_ == Role::leading || role_ == Role::doubtful; }
   uint64_t known_token() const;          // under mutex_: the highest known of
   bool knows_cancellations(double now);  // under mutex_: may keep workers' leases alive
--- a/src/net/budget.h
+++ b/src/net/budget.h
@@ -22,11 +22,10 @@
     refill();
     rate_ = std::max(0.01, total_ * share);
   }
-  // The limit for all nodes together has become this; it never rises again.
-  void lower_total(double per_s) {
+  // The limit for all nodes together has become this.
+  void set_total(double per_s) {
     std::lock_guard lock(mutex_);
     refill();
-    if (per_s >= total_) return;
     rate_ *= per_s / total_;
     total_ = per_s;
     level_ = std::min(level_, burst());
--- a/src/net/write_share.h
+++ b/src/net/write_share.h
@@ -2,7 +2,6 @@
 // How the changes a second that all replicas together may make are shared out: by demand, which the
 // replicas tell one another.
 
-#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -29,7 +28,7 @@
   int reachable_siblings(double now) const;
 
   // The limit for all together has become this.
-  void lower_limit(double writes_per_s) { writes_per_s_ = std::min(writes_per_s_, writes_per_s); }
+  void set_limit(double writes_per_s) { writes_per_s_ = writes_per_s; }
 
   // This replica's share of all changes a second, 0 to 1, if that one leads (empty: unknown).
   // Submissions, which the followers write, have what they asked for lately and half as much again,
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -2,15 +2,51 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
+#include "net/steady_clock.h"
+
 namespace rookdyke::state {
 
 using ledger::Outcome;
 using nlohmann::json;
 
-void Budgets::lower_write_rate() {
-  if (!next_write_rps_ || has_lowered_write_rate_.exchange(true)) return;
-  writes.lower_total(*next_write_rps_);
-  spdlog::info("state: {} changes a second from now on", *next_write_rps_);
+namespace {
+// Siblings say every second that they see the limit lowered; it holds here as long as they do.
+constexpr double kSiblingFresh = 3;
+}  // namespace
+
+void Budgets::on_write_refused() {
+  std::lock_guard lock(mutex_);
+  write_limit_.on_refused(steady_now());
+  update_locked(steady_now());
+}
+
+void Budgets::on_sibling_refused() {
+  std::lock_guard lock(mutex_);
+  sibling_refused_at_ = steady_now();
+  update_locked(steady_now());
+}
+
+bool Budgets::sees_lowered_write_rate() {
+  std::lock_guard lock(mutex_);
+  return write_limit_.is_lowered(steady_now());
+}
+
+double Budgets::update_write_rate() {
+  std::lock_guard lock(mutex_);
+  return update_locked(steady_now());
+}
+
+double Budgets::update_locked(double now) {
+  const bool lowered = write_limit_.is_lowered(now) || now - sibling_refused_at_ < kSiblingFresh;
+  const double is = lowered ? std::min(write_rps_, next_write_rps_) : write_rps_;
+  if (is != current_write_rps_) {
+    writes.set_total(is);
+    current_write_rps_ = is;
+    spdlog::info("state: {} changes a second from now on", is);
+  }
+  return is;
 }
 
 Client::Client(const Endpoint& at, Budgets& budgets, double read_timeout_s)
@@ -59,7 +95,7 @@
   if (a.status == 429) {
     budgets_.requests.penalty(0.2);
     if (writes) {
-      budgets_.lower_write_rate();
+      budgets_.on_write_refused();
       budgets_.writes.penalty(0.2);
     }
     spdlog::warn("state: {} {}: over the rate limit", method, path);
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -4,7 +4,7 @@
 
 #include <httplib.h>
 
-#include <atomic>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -12,27 +12,41 @@
 #include "config/config.h"
 #include "core/ledger.h"
 #include "net/budget.h"
+#include "net/rate_limit.h"
 #include "wire/wire.h"
 
 namespace rookdyke::state {
 
-// What all clients of a node may ask of the state service.
-struct Budgets {
+// What all clients of a replica may ask of the state service.
+class Budgets {
+ public:
   // next_write_rps: what the limit of changes a second will be from some moment on; empty: it
   // stays.
   Budgets(double rps, double write_rps, std::optional<double> next_write_rps = std::nullopt)
-      : requests(rps), writes(write_rps), next_write_rps_(next_write_rps) {}
-
-  // The limit of changes a second has become the next one. For good, also if that was a mistake: it
-  // never rises, and less than there is does no harm.
-  void lower_write_rate();
-  bool has_lowered_write_rate() const { return has_lowered_write_rate_; }
+      : requests(rps),
+        writes(write_rps),
+        write_rps_(write_rps),
+        next_write_rps_(next_write_rps.value_or(write_rps)) {}
+
+  // The state service refused a change for its rate.
+  void on_write_refused();
+  // The same was seen by a sibling, just now.
+  void on_sibling_refused();
+  // Whether this replica itself takes the limit of changes a second for lowered.
+  bool sees_lowered_write_rate();
+  // Follows what is known of the limit; returns it. To be called every second or so.
+  double update_write_rate();
 
   net::Budget requests, writes;
 
  private:
-  const std::optional<double> next_write_rps_;
-  std::atomic<bool> has_lowered_write_rate_{false};
+  double update_locked(double now);
+
+  const double write_rps_, next_write_rps_;
+  std::mutex mutex_;
+  net::RateLimit write_limit_;
+  double sibling_refused_at_ = -1e9;
+  double current_write_rps_ = write_rps_;
 };
 
 class Client {
