--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -43,6 +43,35 @@
   EXPECT_DOUBLE_EQ(c.core.teams.at(0).cpus_max, 2);
 }
 
+TEST(Config, TheNextLimitsOfTheStateServiceAreOptional) {
+  EXPECT_FALSE(parse_config(good().dump()).core.next_limits);
+  json j = good();
+  j["params"]["state"]["next"] = nullptr;
+  EXPECT_FALSE(parse_config(j.dump()).core.next_limits);
+  j["params"]["state"]["next"] = {
+      {"write_rps", 18.0}, {"value_kb", 2.0}, {"txn_ops", 5}, {"something_new", 1}};
+  const Config c = parse_config(j.dump());
+  ASSERT_TRUE(c.core.next_limits);
+  EXPECT_EQ(c.core.next_limits->value_bytes, 2048u);
+  EXPECT_EQ(c.core.next_limits->txn_ops, 5u);
+  EXPECT_DOUBLE_EQ(c.core.next_limits->write_rps, 18);
+  EXPECT_EQ(c.core.lasting_value_bytes(), 2048u);
+  EXPECT_EQ(c.core.lasting_txn_ops(), 5u);
+  EXPECT_EQ(c.core.value_bytes, 8192u);
+  for (const char* field : {"write_rps", "value_kb", "txn_ops"}) {
+    for (const json& wrong : {json(), json("2"), json(0), json(-1)}) {
+      json bad = j;
+      bad["params"]["state"]["next"][field] = wrong;
+      EXPECT_NE(error_of(bad).find(std::string("params.state.next.") + field), std::string::npos);
+    }
+    json lacks = j;
+    lacks["params"]["state"]["next"].erase(field);
+    EXPECT_NE(error_of(lacks).find(std::string("params.state.next.") + field), std::string::npos);
+  }
+  j["params"]["state"]["next"] = 3;
+  EXPECT_NE(error_of(j).find("params.state.next"), std::string::npos);
+}
+
 TEST(Config, NamesWhatIsMissingOrBad) {
   json j = good();
   j.erase("bind");
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -8,12 +8,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -91,6 +93,15 @@
       store_.commit(t);
     }
   }
+  // From now on larger values and transactions are answered 400.
+  void lower_limits(const StateLimits& to) {
+    std::lock_guard lock(mutex_);
+    store_.lower_limits(to);
+  }
+  size_t rejected() {
+    std::lock_guard lock(mutex_);
+    return store_.rejected;
+  }
   const Store::Entry* row(const std::string& key) {
     std::lock_guard lock(mutex_);
     return store_.get(key);
@@ -131,6 +142,8 @@
       if (!fate.answered) return put(r, 200, json::object());
       if (res.outcome == ledger::Outcome::applied)
         put(r, 200, {{"ledger", res.revision}});
+      else if (res.outcome == ledger::Outcome::rejected)
+        put(r, 400, {{"error", "too large"}});
       else
         put(r, 409, {{"failed", res.failed}, {"ledger", store_.revision}});
     } else if (path == "/watch") {
@@ -189,7 +202,7 @@
 };
 
 // A cloud with one small machine type; a rented machine is a thread that reports and runs every
-// task in no time.
+// task in no time, but for those of jobs whose ids begin with kRunsOn: they run until stopped.
 class CloudAndWorkers {
  public:
   CloudAndWorkers()
@@ -211,6 +224,29 @@
     std::lock_guard lock(mutex_);
     return names_.size();
   }
+  static constexpr const char* kRunsOn = "wk-9";
+  // How many tasks of the job run, and how many of its tasks were ever started.
+  size_t running(const std::string& job) {
+    std::lock_guard lock(mutex_);
+    return static_cast<size_t>(std::count_if(running_.begin(), running_.end(), [&](const auto& t) {
+      return t.first.rfind(job + "/", 0) == 0;
+    }));
+  }
+  size_t started(const std::string& job) {
+    std::lock_guard lock(mutex_);
+    return started_[job];
+  }
+  // Tasks that ran on two machines at once, or that were started though they ran already.
+  size_t ran_twice() {
+    std::lock_guard lock(mutex_);
+    return ran_twice_;
+  }
+  // The tasks of that job that run now fail.
+  void fail_tasks(const std::string& job) {
+    std::lock_guard lock(mutex_);
+    for (const auto& [task, machine] : running_)
+      if (task.rfind(job + "/", 0) == 0) to_fail_.insert(task);
+  }
 
  private:
   void serve(const httplib::Request& q, httplib::Response& r) {
@@ -281,11 +317,14 @@
         for (const json& o : a.at("orders")) {
           const std::string k = o.at("shift").get<std::string>();
           if (o.at("verb") == "run" && !tasks.count(k))
-            tasks[k] = {
-                {"shift", k}, {"go", o.at("go")}, {"standing", "exited"}, {"cause", "done"}};
+            tasks[k] = begin(k, o.at("go"), name);
+          else if (o.at("verb") == "stop" && tasks.count(k) && tasks[k]["standing"] == "running")
+            end(tasks[k], "halted");
           else if (o.at("verb") == "clear")
             tasks.erase(k);
         }
+        for (auto& [k, t] : tasks)
+          if (t["standing"] == "running" && is_to_fail(k)) end(t, "error");
       } else {
         const json a = r ? body_of(r->body) : json();
         const std::string leader = a.is_object() ? a.value("steward", "") : "";
@@ -298,7 +337,34 @@
     }
   }
 
+  json begin(const std::string& task, const json& attempt, const std::string& machine) {
+    json t = {{"shift", task}, {"go", attempt}, {"standing", "running"}};
+    std::lock_guard lock(mutex_);
+    ++started_[task.substr(0, task.find('/'))];
+    if (task.rfind(kRunsOn, 0) != 0) {
+      t["standing"] = "exited";
+      t["cause"] = "done";
+      return t;
+    }
+    if (!running_.emplace(task, machine).second) ++ran_twice_;
+    return t;
+  }
+  void end(json& t, const char* cause) {
+    t["standing"] = "exited";
+    t["cause"] = cause;
+    std::lock_guard lock(mutex_);
+    running_.erase(t.at("shift").get<std::string>());
+  }
+  bool is_to_fail(const std::string& task) {
+    std::lock_guard lock(mutex_);
+    return to_fail_.erase(task) > 0;
+  }
+
   std::mutex mutex_;
+  std::map<std::string, std::string> running_;  // task -> machine
+  std::map<std::string, size_t> started_;       // by job
+  std::set<std::string> to_fail_;
+  size_t ran_twice_ = 0;
   std::condition_variable known_;
   std::atomic<bool> stop_{false};
   std::map<std::string, int> nodes_;
--- /dev/null
+++ b/tests/rate_limit_test.cpp
@@ -0,0 +1,66 @@
+// When the state service's lowered limit of changes a second is taken to hold.
+
+#include "net/rate_limit.h"
+
+#include <gtest/gtest.h>
+
+#include "net/budget.h"
+
+namespace rookdyke::net {
+namespace {
+
+TEST(RateLimit, ARefusalLowersItAtOnceAndForAWhile) {
+  RateLimit limit;
+  EXPECT_FALSE(limit.is_lowered(0));
+  limit.on_refused(1);
+  EXPECT_TRUE(limit.is_lowered(1));
+  EXPECT_TRUE(limit.is_lowered(10.9));
+  EXPECT_FALSE(limit.is_lowered(11.1)) << "the former rate is tried again";
+}
+
+// All controllers that start at once are hasty together: that is no lowered limit.
+TEST(RateLimit, ManyRefusalsAtOnceCountForOne) {
+  RateLimit limit;
+  for (int i = 0; i < 100; ++i) limit.on_refused(1 + 0.02 * i);
+  EXPECT_FALSE(limit.is_lowered(11.1));
+  limit.on_refused(100);
+  EXPECT_FALSE(limit.is_lowered(110.1)) << "long after the first: not in a row";
+}
+
+TEST(RateLimit, RefusedWheneverTheFormerRateIsTriedItStaysLow) {
+  RateLimit limit;
+  double now = 1;
+  int refusals = 0;
+  for (; now < 300; now += 0.5) {
+    if (limit.is_lowered(now)) continue;
+    limit.on_refused(now);
+    ++refusals;
+  }
+  EXPECT_LE(refusals, 4);
+  EXPECT_TRUE(limit.is_lowered(1e6));
+}
+
+TEST(Budget, FollowsTheLimitDownAndUp) {
+  Budget budget(100);
+  EXPECT_TRUE(budget.take(1, 0));
+  budget.set_total(10);
+  // A second's worth of the lower limit is left at most.
+  int taken = 0;
+  while (taken < 100 && budget.take(1, 0)) ++taken;
+  EXPECT_LE(taken, 12);
+  EXPECT_GT(budget.wait_for(5), 0.3);
+  budget.set_total(1000);
+  EXPECT_LT(budget.wait_for(5), 0.1);
+}
+
+// What waits for its turn waits a little longer.
+TEST(Budget, WhatGoesFirstWaitsForNobody) {
+  Budget budget(1);
+  while (budget.take(1, 0)) {
+  }
+  budget.take_first(1);
+  EXPECT_GT(budget.wait_for(1), 0.9);
+}
+
+}  // namespace
+}  // namespace rookdyke::net
--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -70,10 +70,7 @@
 //   expect served ID at_least P   of a service's replica time, from 5 s after submission on
 //   expect largest_write at_most N    bytes of a value, since the limits were lowered
 //   expect rejected at_least|at_most N    transactions beyond the limits
-//   expect machines at_most N     at the end
-//   expect hires at_most N
-//   expect returns at_least N
-//   expect returns at_most N by T
+//   expect machines|hires|returns at_least|at_most N [by T]    at the end, or at that time
 //   expect met WHAT at_least N    how often troubles met (World::meet)
 //   expect leader                 at the end
 //   expect all_known              every accepted job is done or aborted at the end
@@ -169,8 +166,8 @@
     if (until <= 0) wrong(0, "no `until`");
     if (expects.empty()) wrong(0, "nothing is expected");
     for (const auto& [n, w] : expects)
-      if (const double t = by(w, n); w[1] == "returns" && t < until)
-        world_->clock.at(t, [this, n = n] { returns_at_[n] = world_->returns; });
+      if (const double t = by(w, n); counts_machines(w[1]) && t < until)
+        world_->clock.at(t, [this, n = n, what = w[1]] { counted_at_[n] = machine_count(what); });
     world_->start();
     world_->clock.run(until);
     if (!seed)
@@ -185,6 +182,14 @@
     return who == "leader" ? world.nodes[i].get() == world.leader() : who == std::to_string(i);
   }
 
+  static bool counts_machines(const std::string& what) {
+    return what == "machines" || what == "hires" || what == "returns";
+  }
+  size_t machine_count(const std::string& what) const {
+    if (what == "machines") return world_->machines_up();
+    return what == "hires" ? world_->rentals : world_->returns;
+  }
+
   static double by(const Words& w, int line) {
     for (size_t i = 2; i < w.size(); ++i)
       if (w[i] == "by") return number(w, i + 1, line);
@@ -572,12 +577,10 @@
       for (const std::string& x : w) text += x + " ";
       failures_.push_back("line " + std::to_string(line) + ": " + text + "- was " + was);
     };
-    if (what == "machines" || what == "hires" || what == "returns") {
+    if (counts_machines(what)) {
       const double n = number(w, 3, line);
-      const auto is = static_cast<double>(what == "machines"        ? world_->machines_up()
-                                          : what == "hires"         ? world_->rentals
-                                          : returns_at_.count(line) ? returns_at_.at(line)
-                                                                    : world_->returns);
+      const auto is =
+          static_cast<double>(counted_at_.count(line) ? counted_at_.at(line) : machine_count(what));
       if (w[2] == "at_most" ? is > n : is < n) miss(std::to_string(is));
       return;
     }
@@ -646,7 +649,7 @@
   std::map<std::pair<std::string, bool>, int> capacity_;
   double late_copies_ = 0, late_copies_s_ = 0, late_writes_ = 0;
   double lose_ = 0, repeat_ = 0, slow_ = 0, never_boots_ = 0, slow_boots_ = 1;
-  std::map<int, size_t> returns_at_;  // by the line that expects them
+  std::map<int, size_t> counted_at_;  // by the line that expects it at a time of its own
   std::unique_ptr<World> world_;
   std::vector<std::string> failures_;
 };
--- a/tests/user_api_test.cpp
+++ b/tests/user_api_test.cpp
@@ -201,6 +201,47 @@
   EXPECT_TRUE(ledger.committed.empty());
 }
 
+// The state service has lowered its limits since; a shorter one would be taken.
+TEST_F(UserApiTest, ADescriptionThatDoesNotFitTheLoweredLimitsIsRefused) {
+  settings.next_limits.emplace();
+  settings.next_limits->value_bytes = 64;
+  ledger.answer_commits(Outcome::rejected);
+  EXPECT_EQ(submit().status, 400);
+  settings.next_limits->value_bytes = 4096;
+  ledger.answer_commits(Outcome::rejected);
+  expect_refusal(submit(), false);
+}
+
+TEST_F(UserApiTest, AServiceIsAcceptedIfAllItsReplicasFitTheTeamsLimit) {
+  settings.next_limits.emplace();
+  settings.next_limits->value_bytes = 2048;
+  json service = description();
+  service["shape"] = "service";
+  service["expected_s"] = 0.0;
+  EXPECT_EQ(submit(service).status, 422) << "four replicas of one CPU, for a team that may use two";
+  service["shifts"] = 2;
+  ledger.answer_commits(Outcome::applied);
+  EXPECT_EQ(submit(service).status, 201);
+  const auto row = ledger::decode_job(kJob, ledger.committed.back().changes.at(0).value);
+  ASSERT_TRUE(row && row->spec);
+  EXPECT_EQ(row->spec->shape, Shape::service);
+  EXPECT_EQ(row->per, ledger::tasks_per_chunk(2048));
+  service.erase("expected_s");
+  service["id"] = "wk-000002";
+  EXPECT_EQ(submit(service).status, 400);
+}
+
+// It is there, but nobody can say how it stands.
+TEST_F(UserApiTest, AJobWhoseRowCannotBeReadIsNeitherUnknownNorAnswered) {
+  ledger.mirror.put(ledger::job_key(kJob), "noise", kVersion);
+  expect_refusal(poll(), false);
+  expect_refusal(abort(), false);
+  ledger.answer_commits(Outcome::conflict);
+  expect_refusal(submit(), false);
+  ledger.put_job(Standing::open, kVersion + 1);
+  EXPECT_EQ(poll().status, 200);
+}
+
 TEST_F(UserApiTest, WithoutMachineTypesNothingIsDecided) {
   ledger.types.clear();
   expect_refusal(submit(), false);
