--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -2,11 +2,11 @@
 // A node's copy of the ledger's rows, fed by the watch. Polls are answered from it, but only
 // after a read barrier (invariant 5); a new leader is built from it.
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -21,7 +21,9 @@
   uint32_t n = 0;
   std::optional<uint32_t> part_first;  // empty: the whole chunk
 
-  auto operator<=>(const ChunkKey&) const = default;
+  bool operator<(const ChunkKey& o) const {
+    return std::tie(n, part_first) < std::tie(o.n, o.part_first);
+  }
 };
 
 struct MirrorChunk {
--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -256,34 +256,7 @@
       }
       settings_.teams.push_back(t);
     } else if (w[0] == "set") {
-      const std::map<std::string, double*> known = {
-          {"report_s", &settings_.report_s},
-          {"lease_s", &settings_.lease_s},
-          {"gang_wait_s", &settings_.gang_wait_s},
-          {"gang_peer_s", &settings_.gang_peer_s},
-          {"cancel_s", &settings_.cancel_s},
-          {"list_lag_s", &settings_.list_lag_s},
-          {"lull_s", &settings_.tuning.lull_s},
-          {"percentile", &settings_.tuning.percentile},
-          {"drain_deadline_s", &settings_.tuning.drain_deadline_s},
-          {"silence_s", &settings_.tuning.silence_s},
-          {"start_spare", &settings_.tuning.start_spare},
-          {"trend_s", &settings_.tuning.trend_s}};
-      const double v = number(w, 2, line);
-      if (auto k = known.find(word(w, 1, line)); k != known.end())
-        *k->second = v;
-      else if (w[1] == "value_bytes")
-        settings_.value_bytes = static_cast<size_t>(v);
-      else if (w[1] == "txn_ops")
-        settings_.txn_ops = static_cast<size_t>(v);
-      else if (w[1] == "next_value_bytes")
-        next_limits().value_bytes = static_cast<size_t>(v);
-      else if (w[1] == "next_txn_ops")
-        next_limits().txn_ops = static_cast<size_t>(v);
-      else if (w[1] == "history")
-        settings_.tuning.history = static_cast<int>(v);
-      else
-        wrong(line, "unknown setting " + w[1]);
+      set_value(line, w);
     } else if (w[0] == "capacity") {
       capacity_[{word(w, 1, line), word(w, 2, line) == "spot"}] =
           static_cast<int>(number(w, 3, line));
@@ -316,6 +289,37 @@
     }
   }
 
+  void set_value(int line, const Words& w) {
+    const std::map<std::string, double*> known = {
+        {"report_s", &settings_.report_s},
+        {"lease_s", &settings_.lease_s},
+        {"gang_wait_s", &settings_.gang_wait_s},
+        {"gang_peer_s", &settings_.gang_peer_s},
+        {"cancel_s", &settings_.cancel_s},
+        {"list_lag_s", &settings_.list_lag_s},
+        {"lull_s", &settings_.tuning.lull_s},
+        {"percentile", &settings_.tuning.percentile},
+        {"drain_deadline_s", &settings_.tuning.drain_deadline_s},
+        {"silence_s", &settings_.tuning.silence_s},
+        {"start_spare", &settings_.tuning.start_spare},
+        {"trend_s", &settings_.tuning.trend_s}};
+    const double v = number(w, 2, line);
+    if (auto k = known.find(word(w, 1, line)); k != known.end())
+      *k->second = v;
+    else if (w[1] == "value_bytes")
+      settings_.value_bytes = static_cast<size_t>(v);
+    else if (w[1] == "txn_ops")
+      settings_.txn_ops = static_cast<size_t>(v);
+    else if (w[1] == "next_value_bytes")
+      next_limits().value_bytes = static_cast<size_t>(v);
+    else if (w[1] == "next_txn_ops")
+      next_limits().txn_ops = static_cast<size_t>(v);
+    else if (w[1] == "history")
+      settings_.tuning.history = static_cast<int>(v);
+    else
+      wrong(line, "unknown setting " + w[1]);
+  }
+
   // NOLINTNEXTLINE(readability-function-size): one short branch for each word of the language
   void schedule(int line, const Words& w) {
     const double t = number(w, 1, line);
