--- a/src/api/user_api.cpp
+++ b/src/api/user_api.cpp
@@ -166,7 +166,7 @@
   row.spec = spec;
   row.mark = t.mark;
   const json value = ledger::encode(row);
-  const size_t size = ledger::encoded_size(value) + kRowOverhead;
+  const size_t size = ledger::value_size(value) + kRowOverhead;
   if (size > settings_.value_bytes) {
     if (answer_if_accepted_elsewhere(id, deadline, response)) return;
     return reply(response, 400, {{"error", kTooLong}});
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -328,8 +328,8 @@
   void draft_entries(const Page& page, PageDraft& draft);
   void add_starts(PageDraft& draft, InFlightTransaction& f);
   ledger::Chunk durable_chunk(const Job& job, uint32_t first, uint32_t count) const;
-  size_t durable_size(const Job& job, uint32_t first) const;
-  size_t durable_size(const Page& page) const;
+  size_t wanted_size(const Job& job, uint32_t first) const;
+  size_t wanted_size(const Page& page) const;
   size_t page_room() const;
   void split_large_chunks(Index page);
   void split_chunk(Job& job, uint32_t first);
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -203,12 +203,12 @@
   return out;
 }
 
-size_t encoded_size(const json& value) {
+size_t value_size(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace).size();
 }
 
 void shorten_cancelled(JobRow& row, size_t value_bytes) {
-  if (!row.spec || encoded_size(encode(row)) + kFrame <= value_bytes) return;
+  if (!row.spec || value_size(encode(row)) + kFrame <= value_bytes) return;
   row.spec->job_class.clear();
   row.spec->image.clear();
   row.spec->types.clear();
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -119,7 +119,7 @@
 json encode(const JobRow& row);
 json encode(const Page& page);
 // The bytes that a value takes, as the state service counts them.
-size_t encoded_size(const json& value);
+size_t value_size(const json& value);
 // Leaves out of a cancelled job's description what limits and zones do not need, if the row would
 // be larger than that: rows that were written under larger limits can still be cancelled.
 void shorten_cancelled(JobRow& row, size_t value_bytes);
--- a/src/core/transactions.cpp
+++ b/src/core/transactions.cpp
@@ -151,13 +151,23 @@
 
 }  // namespace
 
-size_t Core::durable_size(const Job& job, uint32_t first) const {
-  return size_of(job.spec.id, durable_chunk(job, first, job.chunks.at(first).count));
+// What is durable, or is to be with the next write: proposed starts count too, for in a page that
+// has no room for them they would wait until others end.
+size_t Core::wanted_size(const Job& job, uint32_t first) const {
+  const uint32_t count = job.chunks.at(first).count;
+  size_t size = size_of(job.spec.id, durable_chunk(job, first, count));
+  for (auto it = job.attempts.lower_bound(first);
+       it != job.attempts.end() && it->first < first + count; ++it) {
+    const Attempt& a = it->second;
+    if (a.state == AttemptState::proposed)
+      size += ledger::encoded_size({a.task, a.number, machines_[a.machine]->name, a.session});
+  }
+  return size;
 }
 
-size_t Core::durable_size(const Page& page) const {
+size_t Core::wanted_size(const Page& page) const {
   size_t size = size_of(page.unreadable_jobs);
-  for (const auto& [j, first] : page.members) size += durable_size(*jobs_[j], first);
+  for (const auto& [j, first] : page.members) size += wanted_size(*jobs_[j], first);
   return size;
 }
 
@@ -180,7 +190,7 @@
     const auto large = std::find_if(members.begin(), members.end(), [this](const auto& member) {
       const Job& job = *jobs_[member.first];
       return job.chunks.at(member.second).count > 1 &&
-             durable_size(job, member.second) > page_room();
+             wanted_size(job, member.second) > page_room();
     });
     if (large == members.end()) return;
     const auto [j, first] = *large;
@@ -188,21 +198,21 @@
   }
 }
 
-// A page that was written under larger limits cannot be written as it is any more. Chunks of it are
-// moved to pages of their own, which are written first; until then the page itself is not, for
-// what was moved is durable only there. True: that has been begun.
+// A page that was laid out under larger limits cannot be written as it is to be any more. Chunks of
+// it are moved to pages of their own, which are written first; until then the page itself is not,
+// for what was moved is durable only there. True: that has been begun.
 bool Core::relieve(Index i, double now) {
-  if (!has_lowered_limits_ || durable_size(pages_[i]) <= page_room()) return false;
+  if (!has_lowered_limits_ || wanted_size(pages_[i]) <= page_room()) return false;
   split_large_chunks(i);
   const size_t room = page_room();
   const auto members = pages_[i].members;
-  size_t left = durable_size(pages_[i]);
+  size_t left = wanted_size(pages_[i]);
   size_t filled = 0;
   Index to = kNone;
   for (const auto& [j, first] : members) {
     if (left <= room) break;
     Job& job = *jobs_[j];
-    const size_t bytes = durable_size(job, first);
+    const size_t bytes = wanted_size(job, first);
     const bool fits = to != kNone && filled + bytes <= room &&
                       pages_[to].reserved + job.chunk_bytes(first) <= room;
     if (!fits) {
@@ -484,7 +494,7 @@
 void Core::take_rejection(const InFlightTransaction& f) {
   bool large = f.txn.changes.size() > settings_.lasting_txn_ops();
   for (const ledger::Change& c : f.txn.changes)
-    large = large || ledger::encoded_size(c.value) > settings_.lasting_value_bytes();
+    large = large || ledger::value_size(c.value) > settings_.lasting_value_bytes();
   if (large && settings_.next_limits)
     lower_limits();
   else
@@ -499,7 +509,7 @@
     // ordered; all others are written anew.
     if (r.outcome == Outcome::refused) page.retry_at = now + kRetryRefused;
     if (r.outcome == Outcome::rejected)
-      page.retry_at = now + (durable_size(page) > page_room() ? 0 : kRetryRejected);
+      page.retry_at = now + (wanted_size(page) > page_room() ? 0 : kRetryRejected);
     if (page.dirty_since < 0) page.dirty_since = now;
     page.waits = page.kind == PageKind::service ? Wait::replica : Wait::promised;
     for (Index j : f.jobs)
--- a/tests/lowered_limits_test.cpp
+++ b/tests/lowered_limits_test.cpp
@@ -125,7 +125,7 @@
     ASSERT_LE(p.txn.changes.size(), settings.next_limits->txn_ops);
     bool large = false;
     for (const auto& c : p.txn.changes)
-      large = large || ledger::encoded_size(c.value) > settings.next_limits->value_bytes;
+      large = large || ledger::value_size(c.value) > settings.next_limits->value_bytes;
     if (large) {
       ++rejected;
       core->on_result(p.id, {Outcome::rejected, 0, {}}, now);
@@ -203,7 +203,7 @@
   const auto p = page_write(10);
   ASSERT_TRUE(p);
   EXPECT_EQ(p->txn.changes.at(0).key, ledger::page_key(0));
-  EXPECT_GT(ledger::encoded_size(p->txn.changes.at(0).value), 2048u);
+  EXPECT_GT(ledger::value_size(p->txn.changes.at(0).value), 2048u);
   core->on_result(p->id, {Outcome::applied, 101, {}}, 10);
   EXPECT_FALSE(core->has_lowered_limits());
 }
@@ -253,13 +253,35 @@
       const auto& change = p->txn.changes.at(0);
       const bool is_page = change.key.rfind(ledger::kTaskPrefix, 0) == 0;
       EXPECT_TRUE(!is_page || change.key == ledger::page_key(0) ||
-                  ledger::encoded_size(change.value) <= 2048);
+                  ledger::value_size(change.value) <= 2048);
       core->on_result(p->id, {Outcome::applied, ++revision, {}}, 1);
     }
   }
   EXPECT_EQ(core->find_job("wk-000003")->attempts.size(), 200u);
 }
 
+// Between what runs and the limit there may be no room for starts in a page of before: they went
+// unwritten until enough had ended, for minutes (replay of rollout, docs/rounds.md, round 31).
+TEST_F(LoweredLimits, StartsThatDoNotFitTheirPageAreMadeRoomFor) {
+  rows.clear();
+  ledger::Page page;
+  add_job(kArray, kPer, page);
+  constexpr uint32_t kRunning = 85;
+  page.entries.at(0).chunk.live.resize(kRunning);
+  rows[ledger::page_key(0)] = {ledger::encode(page), 4};
+  core = leader();
+  core->lower_limits();
+  for (int i = 1; i <= 70; ++i) core->on_report(bare_report(i, 1, kToken), 1);
+  for (double now = 1; now < 6; now += 0.5) {
+    core->round(now);
+    while (auto p = core->next_transaction(now)) answer(*p, now);
+  }
+  EXPECT_EQ(rejected, 0u);
+  const Job& job = *core->find_job(kArray);
+  EXPECT_EQ(job.attempts.size(), kPer);
+  EXPECT_EQ(job.proposed, 0u);
+}
+
 TEST_F(LoweredLimits, ACancelledJobWithALongDescriptionKeepsWhatItsLimitsNeed) {
   ledger::JobRow row;
   row.standing = ledger::Standing::aborted;
@@ -270,10 +292,10 @@
   row.spec->scatter = true;
   row.spec->each = {1, 2, 3};
   row.spec->types.assign(100, std::string(30, 'x'));
-  ASSERT_GT(ledger::encoded_size(ledger::encode(row)), 2048u);
+  ASSERT_GT(ledger::value_size(ledger::encode(row)), 2048u);
   ledger::shorten_cancelled(row, 2048);
   const json value = ledger::encode(row);
-  EXPECT_LE(ledger::encoded_size(value), 2048u);
+  EXPECT_LE(ledger::value_size(value), 2048u);
   const auto back = ledger::decode_job(kArray, value);
   ASSERT_TRUE(back && back->spec);
   EXPECT_EQ(back->spec->team, "team");
--- a/tests/sim.cpp
+++ b/tests/sim.cpp
@@ -78,7 +78,7 @@
     if (c.erase) {
       if (rows_.erase(c.key)) log_.push_back({c.key, true, {}, revision});
     } else {
-      largest_written = std::max(largest_written, ledger::encoded_size(c.value));
+      largest_written = std::max(largest_written, ledger::value_size(c.value));
       rows_[c.key] = {c.value, revision, c.lease};
       log_.push_back({c.key, false, c.value, revision});
     }
@@ -93,7 +93,7 @@
   if (t.changes.size() > txn_ops || t.conditions.size() > kConditionsPerChange * txn_ops)
     return false;
   return std::all_of(t.changes.begin(), t.changes.end(), [this](const ledger::Change& c) {
-    return c.erase || ledger::encoded_size(c.value) <= value_bytes;
+    return c.erase || ledger::value_size(c.value) <= value_bytes;
   });
 }
 
