--- a/src/core/transactions.cpp
+++ b/src/core/transactions.cpp
@@ -20,7 +20,7 @@
 constexpr size_t kLeastClosings = 4;  // at once, whatever is left of the rate of changes
 // What has waited this long goes as if somebody more impatient waited for it: nothing is put off
 // for ever. Replicas go first all the same; they are few.
-constexpr double kPutOff = 4;
+constexpr double kPutOff = 8;
 constexpr size_t kConditionsPerChange = 4;  // the state service's limit
 constexpr double kRetryRefused = 0.25;
 constexpr double kRetryConflict = 0.02;
