--- a/src/core/core.h
+++ b/src/core/core.h
@@ -3,13 +3,13 @@
 // results, machine lists), effects come out (transactions, rentals, returns, orders). It has no
 // sockets, clocks or randomness of its own, so scenarios drive it in simulated time.
 //
-// core.cpp         life of jobs, taking over from the ledger
-// transactions.cpp what is written to the ledger, and what its answers mean
-// reports.cpp    what a worker's report proves, and the orders it is answered with
-// services.cpp   replicas of services: where they go, and how they move
-// placement.cpp  what runs where, preemption
-// fleet.cpp      demand, renting, draining, returning
-// states.cpp     the state machines' allowed steps
+// core.cpp          life of jobs, taking over from the ledger
+// transactions.cpp  what is written to the ledger, and what its answers mean
+// reports.cpp       what a worker's report proves, and the orders it is answered with
+// services.cpp      replicas of services: where they go, and how they move
+// placement.cpp     what runs where, preemption
+// fleet.cpp         demand, renting, draining, returning
+// states.cpp        the state machines' allowed steps
 
 #include <deque>
 #include <map>
@@ -22,9 +22,13 @@
 #include <vector>
 
 #include "core/boot_statistics.h"
+#include "core/effects.h"
 #include "core/forecast.h"
+#include "core/job.h"
 #include "core/ledger.h"
+#include "core/machine.h"
 #include "core/mirror.h"
+#include "core/page.h"
 #include "core/rented_list.h"
 #include "core/settings.h"
 #include "core/states.h"
@@ -35,184 +39,6 @@
 // More than a task needs to save, so that a save begun in time is not cut short by rounding.
 inline constexpr double kGraceMargin = 1;
 
-struct Attempt {
-  uint32_t task = 0;
-  uint64_t number = 0;
-  Index machine = kNone;
-  uint64_t session = 0;
-  AttemptState state = AttemptState::proposed;
-  Cause cause = Cause::none;
-  bool stop = false;   // it is to leave its machine
-  double grace_s = 0;  // with this much time to save
-  double since = 0;    // proposed or taken over at
-  double running_since = 0;
-  bool proven = false;    // a replica that ran for long enough to show that it can
-  bool shielded = false;  // its job had starved: not to be stopped for higher ranks
-  // The report in whose answer `run` was last ordered; (0,0): never by this leader.
-  uint64_t ordered_session = 0, ordered_seq = 0;
-  bool direct = false;  // a `run` sent straight to its worker may still be executed
-};
-
-// Whose chunks share a page: those that are written in a hurry are not held up by, or do not have
-// to carry, those that are not.
-enum class PageKind : uint8_t { usual, promised, service };
-
-// The page that some consecutive tasks of a job lie in; kNone: never written.
-struct ChunkPlace {
-  uint32_t count = 0;  // of tasks
-  Index page = kNone;
-};
-
-struct Job {
-  Index id = kNone;
-  JobSpec spec;
-  Index job_class = kNone, team = kNone, image = kNone, zone = kNone;
-  std::vector<bool> types;  // allowed, by type index; empty: any
-  JobState state = JobState::open;
-  uint64_t version = 0;
-  double at_s = 0;
-  double seen_at = 0;  // on our clock: when it was accepted, as far as times of day can tell
-  uint32_t per = 1;    // tasks a chunk, as the job's row has it
-  std::set<uint32_t> waiting;            // tasks without an attempt
-  std::map<uint32_t, Attempt> attempts;  // at most one per task, ever (rule ran_twice)
-  ledger::TaskSet done;
-  uint32_t done_count = 0;
-  uint32_t proposed = 0;                  // attempts whose start is not durable yet
-  uint64_t top = 0;                       // highest attempt number used
-  std::map<uint32_t, ChunkPlace> chunks;  // by first task; together they hold all tasks
-  uint32_t in_flight_transactions = 0;  // transactions under way that name its row or its attempts
-  bool has_start_promise = false;       // its class is promised a prompt start
-  double stale_since = -1;              // its row changed under us: the watch has to bring it
-  double share = 0;                     // of the smallest machine that a task takes
-  std::vector<double> start_within;     // what its class is promised of starting
-  bool guaranteed = false;              // within its team's guarantee, as of this round
-  double urgency = 0;                   // as of this round, smallest first
-  double missing_since = -1;            // a service's: a replica of it has last ended
-  double last_start = -1;               // a task of it was last placed, or its turn was over
-  uint32_t turn_left = 0;               // a starved array's: tasks that it may still begin
-  double aborted_at = -1;
-  double not_before = 0;     // back-off after errors of its own
-  double retry_at = 0;       // after a refused transaction
-  double set_aside_at = 0;   // machines are looked for no earlier
-  std::set<Index> erred_on;  // machines where it failed since it last succeeded
-  uint32_t errors = 0;
-  uint32_t tasks() const { return spec.tasks; }
-  PageKind page_kind() const {
-    if (service()) return PageKind::service;
-    return has_start_promise ? PageKind::promised : PageKind::usual;
-  }
-  bool gang() const { return spec.shape == Shape::gang; }
-  bool over() const { return state == JobState::done || state == JobState::aborted; }
-  bool stale() const { return stale_since >= 0; }
-  bool service() const { return spec.shape == Shape::service; }
-  // The first task of the chunk that the task lies in.
-  uint32_t chunk_of(uint32_t task) const { return std::prev(chunks.upper_bound(task))->first; }
-  size_t chunk_bytes(uint32_t first) const {
-    return ledger::chunk_reserve(spec.id, chunks.at(first).count);
-  }
-};
-
-// Who waits for a change to become durable, most impatient first: replicas of services, tasks
-// promised a prompt start, other starts, tasks that have to start again, nobody.
-enum class Wait : uint8_t { replica, promised, start, again, nobody };
-
-// A row of the ledger that holds chunks of several jobs; at most one write of it is under way.
-struct Page {
-  uint64_t version = 0;
-  bool in_flight = false;
-  size_t reserved = 0;                             // bytes set aside for its chunks
-  std::set<std::pair<Index, uint32_t>> members;    // (job, first task of a chunk)
-  std::vector<ledger::PageEntry> unreadable_jobs;  // of jobs whose rows can't be read: kept as is
-  bool readable = true;                            // one that can't be read is never written
-  // Chunks that do not fit it any more were moved to so many pages, and are durable only here until
-  // these are written; and the page that this one took such chunks from.
-  uint32_t awaits = 0;
-  Index relieves = kNone;
-  double dirty_since = -1;    // negative: nothing to write
-  Wait waits = Wait::nobody;  // for what is to be written
-  PageKind kind = PageKind::usual;
-  double retry_at = 0;
-};
-
-// After so many reports that took up nothing of what they were answered a machine is taken to be
-// out of reach, however regularly it reports.
-inline constexpr int kUnreachableAfterReports = 2;
-
-struct Machine {
-  Index index = kNone;
-  std::string name, addr;
-  Index type = kNone, zone = kNone;
-  bool spot = false;
-  MachineState state = MachineState::booting;
-  double rented_at = 0;
-  double last_report = 0;
-  double draining_since = 0;
-  double reclaim_at = -1;  // when the cloud takes it; negative: no notice
-  uint64_t session = 0, seq = 0;
-  bool registered = false;  // a report of it carried this leader's token
-  bool was_up = false;      // the ledger has attempts on it, or it reported
-  bool listed = false;      // seen in the cloud's list, or unlisted since `unlisted_at`
-  double unlisted_at = -1;
-  bool cordoned = false;           // never used again
-  bool has_unknown_tasks = false;  // holds tasks the ledger does not know; nothing new until gone
-  // Attempts for which a direct command stays unanswered: a late copy may be executed as long as
-  // token and session hold, and would start a cleared attempt anew, so these are never cleared.
-  std::set<std::tuple<std::string, uint32_t, uint64_t>> unanswered;
-  // What the answer to its last report ordered; the next report shows whether it arrived.
-  std::vector<std::tuple<Verb, std::string, uint32_t, uint64_t>> unacknowledged_commands;
-  int reports_without_acknowledgement = 0;  // reports in a row that took up nothing of it
-  double unacknowledged_since = -1;
-  double older_token_since = -1;  // reports with an older token than ours since, though answered
-  int reports_with_older_token = 0;
-  double older_token_at = 0;  // the last that was counted
-  uint64_t older_token_session = 0, older_token_seq = 0;
-  int token_announcements = 0;  // direct calls that told it our token, unasked
-  double announce_token_at = 0;
-  bool unreachable() const { return reports_without_acknowledgement >= kUnreachableAfterReports; }
-  bool direct_in_flight = false;
-  double direct_after = 0;  // after a direct command failed, reports carry the orders for a while
-  bool returning = false;   // a return call is under way
-  double return_after = 0;
-  Amounts used;                                       // by attempts that are not ended
-  std::vector<std::pair<Index, uint32_t>> tasks;      // (job, task) of attempts that are not ended
-  std::map<Index, std::pair<double, double>> images;  // image -> (last used, size)
-  std::set<Index> err_jobs;  // distinct jobs that failed here since a success
-  double suspect_until = 0;
-  Index reserved_for = kNone;  // a job that others were stopped for
-  double reserved_until = 0;
-  bool usable() const {
-    return state == MachineState::ready && registered && !cordoned && !has_unknown_tasks &&
-           !unreachable();
-  }
-};
-
-struct ReportReply {
-  enum class Verdict : uint8_t { taken, old, deposed } verdict = Verdict::taken;
-  std::vector<Order> orders;
-};
-
-// Orders (none: only our token) sent straight to a worker, without waiting for its next report.
-struct DirectCommand {
-  Index machine = kNone;
-  std::string addr;
-  uint64_t session = 0;
-  std::vector<Order> orders;
-};
-
-struct PendingTransaction {
-  uint64_t id = 0;
-  ledger::Transaction txn;
-  bool repeat = false;  // an earlier copy may still be executed: it goes out unchanged
-};
-
-struct RentalRequest {
-  std::string name, type, zone;
-  bool spot = false;
-  int count = 0;
-};
-
-enum class CloudOutcome : uint8_t { done, no_capacity, refused, unknown };
-
 class Core {
  public:
   Core(Settings settings, std::vector<TypeInfo> types, uint64_t token, double now);
@@ -451,6 +277,7 @@
   void sample_demand(double now);
   void plan_fleet(double now);
   void plan_type(Index type, double now);
+  void drain_surplus(Index type, double now);
   void watch_machines(double now);
   void drain(Machine& m, double now, const char* why);
   void terminate(Machine& m, const char* why);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -379,54 +379,58 @@
 
 void Core::plan_fleet(double now) {
   for (Index t = 0; t < types_.size(); ++t) plan_type(t, now);
-  // After the lull, the emptiest machines are drained.
   for (Index t = 0; t < types_.size(); ++t) {
     TypeState& s = type_state_[t];
     if (s.above_since < 0 || now - s.above_since < settings_.tuning.lull_s) continue;
-    const double need = machines_for(t, s.ordinary);
-    std::vector<std::pair<double, Index>> emptiest;
-    size_t total = 0, ordinary = 0;
-    std::map<Index, double> per_zone, ordinary_in;
-    for (const auto& m : machines_) {
-      if (m->type != t || !counts(*m, now)) continue;
-      ++total;
-      ordinary += !m->spot;
-      ++per_zone[m->zone];
-      ordinary_in[m->zone] += !m->spot;
-      // Of equally empty ones, the dearer goes first.
-      if (m->state != MachineState::ready) continue;
-      const double keep = holds_replicas(*m) ? kKeepReplicas : 0;
-      emptiest.emplace_back(m->used.share_of(types_[t].size) + (m->spot ? 1e-3 : 0) + keep,
-                            m->index);
-    }
-    // Each replica that moves is missed meanwhile: machines with some go one at a time.
-    bool replicas_move = std::any_of(machines_.begin(), machines_.end(), [this](const auto& m) {
-      return m->state == MachineState::draining && holds_replicas(*m);
-    });
-    std::sort(emptiest.begin(), emptiest.end());
-    const double surplus = static_cast<double>(total) - s.target;
-    double left = std::max(1.0, std::ceil(kDrainShare * surplus));
-    for (const auto& [filled, i] : emptiest) {
-      if (left <= 0) break;
-      Machine& m = *machines_[i];
-      const bool with_replicas = holds_replicas(m);
-      if (with_replicas && (replicas_move || !holds_replicas_alone(m))) continue;
-      if (!m.spot && static_cast<double>(ordinary) <= need) continue;
-      if (auto b = s.bound.find(m.zone); b != s.bound.end()) {
-        if (per_zone[m.zone] <= floor_of(t, b->second, false)) continue;
-        if (!m.spot && ordinary_in[m.zone] <= floor_of(t, b->second, true)) continue;
-      }
-      replicas_move = replicas_move || with_replicas;
-      --per_zone[m.zone];
-      ordinary_in[m.zone] -= !m.spot;
-      if (!m.spot) --ordinary;
-      --left;
-      drain(m, now, "lull");
-    }
+    drain_surplus(t, now);
     s.above_since += kDrainEvery;
   }
 }
 
+// After the lull, the emptiest machines are drained.
+void Core::drain_surplus(Index t, double now) {
+  TypeState& s = type_state_[t];
+  const double need = machines_for(t, s.ordinary);
+  std::vector<std::pair<double, Index>> emptiest;
+  size_t total = 0, ordinary = 0;
+  std::map<Index, double> per_zone, ordinary_in;
+  for (const auto& m : machines_) {
+    if (m->type != t || !counts(*m, now)) continue;
+    ++total;
+    ordinary += !m->spot;
+    ++per_zone[m->zone];
+    ordinary_in[m->zone] += !m->spot;
+    // Of equally empty ones, the dearer goes first.
+    if (m->state != MachineState::ready) continue;
+    const double keep = holds_replicas(*m) ? kKeepReplicas : 0;
+    emptiest.emplace_back(m->used.share_of(types_[t].size) + (m->spot ? 1e-3 : 0) + keep, m->index);
+  }
+  // Each replica that moves is missed meanwhile: machines with some go one at a time.
+  bool replicas_move = std::any_of(machines_.begin(), machines_.end(), [this](const auto& m) {
+    return m->state == MachineState::draining && holds_replicas(*m);
+  });
+  std::sort(emptiest.begin(), emptiest.end());
+  const double surplus = static_cast<double>(total) - s.target;
+  double left = std::max(1.0, std::ceil(kDrainShare * surplus));
+  for (const auto& [filled, i] : emptiest) {
+    if (left <= 0) break;
+    Machine& m = *machines_[i];
+    const bool with_replicas = holds_replicas(m);
+    if (with_replicas && (replicas_move || !holds_replicas_alone(m))) continue;
+    if (!m.spot && static_cast<double>(ordinary) <= need) continue;
+    if (auto b = s.bound.find(m.zone); b != s.bound.end()) {
+      if (per_zone[m.zone] <= floor_of(t, b->second, false)) continue;
+      if (!m.spot && ordinary_in[m.zone] <= floor_of(t, b->second, true)) continue;
+    }
+    replicas_move = replicas_move || with_replicas;
+    --per_zone[m.zone];
+    ordinary_in[m.zone] -= !m.spot;
+    if (!m.spot) --ordinary;
+    --left;
+    drain(m, now, "lull");
+  }
+}
+
 // Many machines that fall silent together are cut off rather than dead: they come back, with
 // images and, within their lease, with their work, sooner than others could be booted.
 bool Core::many_silent(double now) const {
--- /dev/null
+++ b/src/core/job.h
@@ -0,0 +1,91 @@
+#pragma once
+// A job as the leader keeps it, with the attempts of its tasks.
+
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "core/ledger.h"
+#include "core/page.h"
+#include "core/states.h"
+#include "core/types.h"
+
+namespace rookdyke {
+
+struct Attempt {
+  uint32_t task = 0;
+  uint64_t number = 0;
+  Index machine = kNone;
+  uint64_t session = 0;
+  AttemptState state = AttemptState::proposed;
+  Cause cause = Cause::none;
+  bool stop = false;   // it is to leave its machine
+  double grace_s = 0;  // with this much time to save
+  double since = 0;    // proposed or taken over at
+  double running_since = 0;
+  bool proven = false;    // a replica that ran for long enough to show that it can
+  bool shielded = false;  // its job had starved: not to be stopped for higher ranks
+  // The report in whose answer `run` was last ordered; (0,0): never by this leader.
+  uint64_t ordered_session = 0, ordered_seq = 0;
+  bool direct = false;  // a `run` sent straight to its worker may still be executed
+};
+
+// The page that some consecutive tasks of a job lie in; kNone: never written.
+struct ChunkPlace {
+  uint32_t count = 0;  // of tasks
+  Index page = kNone;
+};
+
+struct Job {
+  Index id = kNone;
+  JobSpec spec;
+  Index job_class = kNone, team = kNone, image = kNone, zone = kNone;
+  std::vector<bool> types;  // allowed, by type index; empty: any
+  JobState state = JobState::open;
+  uint64_t version = 0;
+  double at_s = 0;
+  double seen_at = 0;  // on our clock: when it was accepted, as far as times of day can tell
+  uint32_t per = 1;    // tasks a chunk, as the job's row has it
+  std::set<uint32_t> waiting;            // tasks without an attempt
+  std::map<uint32_t, Attempt> attempts;  // at most one per task, ever (rule ran_twice)
+  ledger::TaskSet done;
+  uint32_t done_count = 0;
+  uint32_t proposed = 0;                  // attempts whose start is not durable yet
+  uint64_t top = 0;                       // highest attempt number used
+  std::map<uint32_t, ChunkPlace> chunks;  // by first task; together they hold all tasks
+  uint32_t in_flight_transactions = 0;  // transactions under way that name its row or its attempts
+  bool has_start_promise = false;       // its class is promised a prompt start
+  double stale_since = -1;              // its row changed under us: the watch has to bring it
+  double share = 0;                     // of the smallest machine that a task takes
+  std::vector<double> start_within;     // what its class is promised of starting
+  bool guaranteed = false;              // within its team's guarantee, as of this round
+  double urgency = 0;                   // as of this round, smallest first
+  double missing_since = -1;            // a service's: a replica of it has last ended
+  double last_start = -1;               // a task of it was last placed, or its turn was over
+  uint32_t turn_left = 0;               // a starved array's: tasks that it may still begin
+  double aborted_at = -1;
+  double not_before = 0;     // back-off after errors of its own
+  double retry_at = 0;       // after a refused transaction
+  double set_aside_at = 0;   // machines are looked for no earlier
+  std::set<Index> erred_on;  // machines where it failed since it last succeeded
+  uint32_t errors = 0;
+  uint32_t tasks() const { return spec.tasks; }
+  PageKind page_kind() const {
+    if (service()) return PageKind::service;
+    return has_start_promise ? PageKind::promised : PageKind::usual;
+  }
+  bool gang() const { return spec.shape == Shape::gang; }
+  bool over() const { return state == JobState::done || state == JobState::aborted; }
+  bool stale() const { return stale_since >= 0; }
+  bool service() const { return spec.shape == Shape::service; }
+  // The first task of the chunk that the task lies in.
+  uint32_t chunk_of(uint32_t task) const { return std::prev(chunks.upper_bound(task))->first; }
+  size_t chunk_bytes(uint32_t first) const {
+    return ledger::chunk_reserve(spec.id, chunks.at(first).count);
+  }
+};
+
+}  // namespace rookdyke
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -249,7 +249,8 @@
 std::vector<Core::Place> Core::places(const Job& job, double now, bool* is_special,
                                       bool warm_only) {
   std::vector<Place> out;
-  bool special = job.spec.scatter || !job.attempts.empty() || !job.erred_on.empty();
+  const bool bound_to_its_zone = job.spec.one_zone && !job.attempts.empty();
+  bool special = job.spec.scatter || bound_to_its_zone || !job.erred_on.empty();
   for (size_t k = 0; k < open_.size();) {
     const Machine& m = *machines_[open_[k]];
     if (!has_room(m)) {  // filled up in this round
--- a/src/core/transactions.cpp
+++ b/src/core/transactions.cpp
@@ -14,7 +14,7 @@
 
 // Ends that nobody waits for are gathered this long before their page is written: their workers
 // list them until then, so that a new leader hears of them all the same.
-constexpr double kGatherEnds = 8;
+constexpr double kGatherEnds = 6;
 constexpr size_t kMostClosings = 16;
 constexpr double kGatherClosings = 0.5;
 constexpr size_t kLeastClosings = 4;  // at once, whatever is left of the rate of changes
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -401,12 +401,8 @@
   }
 }
 
-// A page that cannot be read may hold attempts of any job that was there when it was written.
-TEST(Core, APageThatCannotBeReadDoesNotEndALeaderAndIsNeverWritten) {
-  Mirror m;
-  m.put("rd/j/wk-000001", open_row(), 3);
-  m.put("rd/t/0", "noise", 4);
-  m.put("rd/j/wk-000002", open_row(), 5);
+// A leader of that ledger, with one machine, after its first round.
+Core leader_of(const Mirror& ledger) {
   Settings settings;
   settings.zones = {"a"};
   settings.teams = {{"t", 0, 0, 0, 0}};
@@ -415,7 +411,7 @@
   type.size = {16, 4, 64};
   type.zones = {"a"};
   Core core(settings, {type}, 7, 0);
-  core.load(m, 0);
+  core.load(ledger, 0);
   Report r;
   r.machine = "m-1";
   r.type = "box";
@@ -424,6 +420,16 @@
   r.token = 7;
   core.on_report(r, 1);
   core.round(1);
+  return core;
+}
+
+// A page that cannot be read may hold attempts of any job that was there when it was written.
+TEST(Core, APageThatCannotBeReadDoesNotEndALeaderAndIsNeverWritten) {
+  Mirror m;
+  m.put("rd/j/wk-000001", open_row(), 3);
+  m.put("rd/t/0", "noise", 4);
+  m.put("rd/j/wk-000002", open_row(), 5);
+  Core core = leader_of(m);
   bool written = false;
   while (const auto p = core.next_transaction(1)) {
     const std::string key = p->txn.changes.at(0).key;
@@ -446,23 +452,7 @@
   m.put("rd/t/0", {{"w", "x"}, {"e", nlohmann::json::array({of_unreadable})}}, 5);
   EXPECT_TRUE(m.unreadable("wk-000001"));
   EXPECT_FALSE(m.unreadable("wk-000002"));
-  Settings settings;
-  settings.zones = {"a"};
-  settings.teams = {{"t", 0, 0, 0, 0}};
-  TypeInfo type;
-  type.name = "box";
-  type.size = {16, 4, 64};
-  type.zones = {"a"};
-  Core core(settings, {type}, 7, 0);
-  core.load(m, 0);
-  Report r;
-  r.machine = "m-1";
-  r.type = "box";
-  r.zone = "a";
-  r.session = r.seq = 1;
-  r.token = 7;
-  core.on_report(r, 1);
-  core.round(1);
+  Core core = leader_of(m);
   bool written = false;
   while (const auto p = core.next_transaction(1)) {
     if (p->txn.changes.at(0).key != "rd/t/0") continue;
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -224,6 +224,57 @@
   ASSERT_TRUE(service().attempts.count(0));
 }
 
+// The changes a second are few: what is written first decides what starts in time.
+class OrderOfWrites : public testing::Test {
+ protected:
+  OrderOfWrites() : core(settings(), {bare_type()}, kToken, 0) {}
+  static Settings settings() {
+    Settings s = bare_settings();
+    s.objectives.push_back({true, "promised", 5});
+    return s;
+  }
+  void submit(const std::string& id, const std::string& job_class, Shape shape, double now) {
+    MirrorJob job;
+    job.version = ++revision;
+    job.row.tasks = job.row.per = 1;
+    job.row.spec = JobSpec{};
+    job.row.spec->team = "team";
+    job.row.spec->job_class = job_class;
+    job.row.spec->shape = shape;
+    job.row.spec->each = {1, 0, 1};
+    core.on_job_row(job, id, now);
+    core.on_report(bare_report(1, ++seq, kToken), now);
+    core.round(now);
+  }
+  // Whose starts are written one after the other.
+  std::vector<std::string> written(double now) {
+    std::vector<std::string> out;
+    while (auto p = core.next_transaction(now)) {
+      const auto& change = p->txn.changes.at(0);
+      if (change.key.rfind(ledger::kTaskPrefix, 0) == 0)
+        out.push_back(change.value.at("e").at(0).at(0).get<std::string>());
+      core.on_result(p->id, {Outcome::applied, ++revision, {}}, now);
+    }
+    return out;
+  }
+
+  Core core;
+  uint64_t revision = 100, seq = 0;
+};
+
+TEST_F(OrderOfWrites, ReplicasGoFirstThenPromisedStarts) {
+  submit("wk-000001", "usual", Shape::array, 1);
+  submit("wk-000002", "promised", Shape::array, 6);
+  submit("wk-000003", "api", Shape::service, 7);
+  EXPECT_EQ(written(7), (std::vector<std::string>{"wk-000003", "wk-000002", "wk-000001"}));
+}
+
+TEST_F(OrderOfWrites, NothingIsPutOffForEverForPromisedStarts) {
+  submit("wk-000001", "usual", Shape::array, 1);
+  submit("wk-000002", "promised", Shape::array, 12);
+  EXPECT_EQ(written(12.1), (std::vector<std::string>{"wk-000001", "wk-000002"}));
+}
+
 TEST(ServiceAdmission, AllReplicasTogetherHaveToFitTheTeamsLimit) {
   JobSpec job;
   job.team = "team";
