--- a/tests/core_fixtures.h
+++ b/tests/core_fixtures.h
@@ -30,6 +30,17 @@
   return t;
 }
 
+// A job of the team as its row tells, in a single chunk.
+inline MirrorJob bare_job(uint32_t tasks, const Amounts& each, uint64_t version) {
+  MirrorJob job;
+  job.version = version;
+  job.row.tasks = job.row.per = tasks;
+  job.row.spec = JobSpec{};
+  job.row.spec->team = "team";
+  job.row.spec->each = each;
+  return job;
+}
+
 inline Report bare_report(int machine, uint64_t seq, uint64_t token) {
   Report r;
   r.machine = "m-" + std::to_string(machine);
--- a/tests/core_guards_test.cpp
+++ b/tests/core_guards_test.cpp
@@ -27,13 +27,7 @@
   CoreGuards() : core(bare_settings(), {bare_type()}, kToken, 0) {}
 
   static MirrorJob job_row(uint32_t tasks, uint64_t version) {
-    MirrorJob job;
-    job.version = version;
-    job.row.tasks = job.row.per = tasks;
-    job.row.spec = JobSpec{};
-    job.row.spec->team = "team";
-    job.row.spec->each = {4, 1, 4};
-    return job;
+    return bare_job(tasks, {4, 1, 4}, version);
   }
   void submit(const std::string& id, double now, uint32_t tasks = 1) {
     core.on_job_row(job_row(tasks, ++revision), id, now);
--- a/tests/lowered_limits_test.cpp
+++ b/tests/lowered_limits_test.cpp
@@ -238,13 +238,8 @@
 TEST_F(LoweredLimits, NewJobsAreLaidOutForTheLoweredSizesFromTheStart) {
   const uint32_t per = ledger::tasks_per_chunk(settings.lasting_value_bytes());
   EXPECT_LT(per, kPer);
-  MirrorJob job;
-  job.version = 50;
-  job.row.tasks = 200;
+  MirrorJob job = bare_job(200, {0.05, 0.01, 0.1}, 50);
   job.row.per = per;
-  job.row.spec = JobSpec{};
-  job.row.spec->team = "team";
-  job.row.spec->each = {0.05, 0.01, 0.1};
   for (int i = 1; i <= 3; ++i) core->on_report(bare_report(i, 1, kToken), 1);
   core->on_job_row(job, "wk-000003", 1);
   for (int round = 0; round < 5; ++round) {
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -36,14 +36,9 @@
 
   void submit(const std::string& id, uint32_t replicas, double now, Shape shape = Shape::service,
               Rank rank = Rank::critical) {
-    MirrorJob job;
-    job.version = ++revision;
-    job.row.tasks = job.row.per = replicas;
-    job.row.spec = JobSpec{};
-    job.row.spec->team = "team";
+    MirrorJob job = bare_job(replicas, {2, 0, 4}, ++revision);
     job.row.spec->shape = shape;
     job.row.spec->rank = rank;
-    job.row.spec->each = {2, 0, 4};
     core.on_job_row(job, id, now);
   }
   // A report of that machine with all its tasks as they are, but for the ones that are named.
@@ -234,14 +229,9 @@
     return s;
   }
   void submit(const std::string& id, const std::string& job_class, Shape shape, double now) {
-    MirrorJob job;
-    job.version = ++revision;
-    job.row.tasks = job.row.per = 1;
-    job.row.spec = JobSpec{};
-    job.row.spec->team = "team";
+    MirrorJob job = bare_job(1, {1, 0, 1}, ++revision);
     job.row.spec->job_class = job_class;
     job.row.spec->shape = shape;
-    job.row.spec->each = {1, 0, 1};
     core.on_job_row(job, id, now);
     core.on_report(bare_report(1, ++seq, kToken), now);
     core.round(now);
