Workers forget an attempt only with a token above that of its direct start

Cause: only direct commands without an answer were guarded against. After an answered one the attempt was forgotten as soon as its end was durable, and a copy starts a forgotten attempt again for as long as token and epoch match, which is the leader's whole term.

Fix: the reply that makes a worker forget attempts carries a token above that of every direct start sent to it, so that it refuses all copies of them, however late. The token is the revision of the leader's own latest transaction on condition of the leader key: a successor's key always gets a higher one, so older and newer versions keep deposing each other as before. The end of the attempt needed that transaction anyway. Without such a token, or with a call in flight, the attempt stays listed until a later heartbeat.

--- a/src/daemon/command_dispatcher.cpp
+++ b/src/daemon/command_dispatcher.cpp
@@ -65,7 +65,7 @@
   http.set_connection_timeout(kConnectTimeout);
   http.set_read_timeout(kTransferTimeout);
   http.set_write_timeout(kTransferTimeout);
-  const std::string body = wire::pack(wire::encode_direct_command(work.fencing_token, work.call));
+  const std::string body = wire::pack(wire::encode_direct_command(work.call));
   // Checked right before sending: this process may have been suspended or have stepped down.
   if (!shared_.term_is_current(work.fencing_token))
     return {.outcome_known = true, .sent = false, .heartbeat = std::nullopt};
--- a/src/daemon/heartbeat_endpoint.cpp
+++ b/src/daemon/heartbeat_endpoint.cpp
@@ -78,7 +78,7 @@
     state.step_down(Role::follower, "a worker has seen a higher fencing token");
     return std::nullopt;
   }
-  Reply reply{http_status::kOk, wire::encode_heartbeat_reply(state.fencing_token(), out.commands)};
+  Reply reply{http_status::kOk, wire::encode_heartbeat_reply(out.fencing_token, out.commands)};
   return LeaderReply{std::move(reply), scheduler->needs_round()};
 }
 
--- a/src/ledger_writer/ledger_writer.cpp
+++ b/src/ledger_writer/ledger_writer.cpp
@@ -113,6 +113,7 @@
 bool LedgerWriter::on_result(uint64_t id, const ledger::Result& result, double now) {
   const auto it = in_flight_.find(id);
   if (it == in_flight_.end()) return false;
+  if (result.outcome == Outcome::applied) claim_.confirm(result.revision);
   if (schedule_resend_if_indeterminate(it->second, result.outcome, now)) return false;
   if (result.outcome == Outcome::rejected) {
     on_rejection(it->second.write.transaction);
--- a/src/model/machine.h
+++ b/src/model/machine.h
@@ -13,6 +13,7 @@
 #include "model/states.h"
 #include "model/types.h"
 #include "workers/command_acknowledgement.h"
+#include "workers/command_fence.h"
 
 namespace rookdyke {
 
@@ -59,6 +60,7 @@
   CommandAcknowledgement acknowledgement;  // of the commands in heartbeat replies
   double unacknowledged_since = -1;        // unreachable since then; negative: reachable
   bool direct_in_flight = false;           // a call with direct commands is in flight
+  CommandFence fence;                      // the fencing token of its commands
   // Attempts whose direct start command has an indeterminate outcome. A delayed copy of the command
   // may be executed while the fencing token and the epoch are unchanged, and would restart an
   // attempt that the worker was told to forget. These attempts therefore get no `forget` command.
--- a/src/model/scheduler_messages.h
+++ b/src/model/scheduler_messages.h
@@ -15,6 +15,7 @@
   // outdated: a newer heartbeat of the machine has been handled, and the worker no longer waits for
   // this reply. deposed: the worker has seen the fencing token of a newer leader.
   enum class Verdict : uint8_t { accepted, outdated, deposed } verdict = Verdict::accepted;
+  uint64_t fencing_token = 0;  // the worker drops the reply if it has seen a higher one
   std::vector<WorkerCommand> commands;
 };
 
@@ -23,7 +24,8 @@
 struct DirectCommand {
   Index machine = kNone;
   std::string addr;
-  uint64_t epoch = 0;  // the worker refuses the call if its epoch is a different one
+  uint64_t epoch = 0;          // the worker refuses the call if its epoch is a different one
+  uint64_t fencing_token = 0;  // or if it has seen a higher token
   std::vector<WorkerCommand> commands;
 };
 
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -31,7 +31,7 @@
       boot_tracker_(settings_, catalog_, machines_, now),
       faults_(machines_),
       images_(catalog_, machines_),
-      reconciler_(jobs_, lifecycle_, faults_, images_, start_permission_),
+      reconciler_(claim_, jobs_, lifecycle_, faults_, images_, start_permission_),
       reclaim_notices_(jobs_, lifecycle_, replicas_),
       heartbeats_(settings_, catalog_, claim_, machines_, jobs_, lifecycle_, boot_tracker_,
                   reclaim_notices_, reconciler_),
--- a/src/wire/worker_messages.cpp
+++ b/src/wire/worker_messages.cpp
@@ -138,8 +138,8 @@
           {field::command::kCommands, std::move(list)}};
 }
 
-json encode_direct_command(uint64_t fencing_token, const DirectCommand& command) {
-  json message = encode_heartbeat_reply(fencing_token, command.commands);
+json encode_direct_command(const DirectCommand& command) {
+  json message = encode_heartbeat_reply(command.fencing_token, command.commands);
   message[field::command::kEpoch] = command.epoch;
   return message;
 }
--- a/src/wire/worker_messages.h
+++ b/src/wire/worker_messages.h
@@ -23,7 +23,7 @@
 // Encodes the leader's reply to a heartbeat that it accepted.
 json encode_heartbeat_reply(uint64_t fencing_token, const std::vector<WorkerCommand>& commands);
 // Encodes commands that the leader sends without waiting for a heartbeat.
-json encode_direct_command(uint64_t fencing_token, const DirectCommand& command);
+json encode_direct_command(const DirectCommand& command);
 // Encodes the reply to a heartbeat that reached a follower. The label is empty if no leader is
 // known.
 json encode_redirect(const std::string& leader_label);
--- a/src/workers/direct_commands.cpp
+++ b/src/workers/direct_commands.cpp
@@ -1,5 +1,7 @@
 #include "workers/direct_commands.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
@@ -33,6 +35,12 @@
   return false;
 }
 
+bool contains_start(const std::vector<WorkerCommand>& commands) {
+  return std::any_of(commands.begin(), commands.end(), [](const WorkerCommand& command) {
+    return command.kind == CommandKind::start;
+  });
+}
+
 }  // namespace
 
 // ---------------------------------------------------------------- calls
@@ -48,7 +56,9 @@
     std::vector<WorkerCommand> commands = commands_for(machine);
     if (commands.empty()) continue;
     machine.direct_in_flight = true;
-    return DirectCommand{machine.index, machine.addr, machine.epoch, std::move(commands)};
+    const uint64_t token = machine.fence.token(claim_.fencing_token());
+    if (contains_start(commands)) machine.fence.on_direct_start_sent(token);
+    return DirectCommand{machine.index, machine.addr, machine.epoch, token, std::move(commands)};
   }
   return announcer_.next_announcement(now);
 }
@@ -90,6 +100,9 @@
   Machine& machine = machines_[call.machine];
   machine.direct_in_flight = false;
   if (heartbeat && heartbeats_.detect_newer_leader(*heartbeat)) return false;
+  if (heartbeat && heartbeat->fencing_token > call.fencing_token)
+    spdlog::debug("machine {}: refused direct commands with token {}, has seen {}", machine.name,
+                  call.fencing_token, heartbeat->fencing_token);
   if (outcome_known)
     clear_direct_starts(machine, call);
   else if (!call.commands.empty())
--- a/src/workers/direct_commands.h
+++ b/src/workers/direct_commands.h
@@ -41,7 +41,7 @@
         starts_(starts),
         heartbeats_(heartbeats),
         reconciler_(reconciler),
-        announcer_(settings, machines, term_started_at) {}
+        announcer_(settings, claim, machines, term_started_at) {}
 
   // Returns the next call to make, if any. Its outcome must be passed to on_result().
   std::optional<DirectCommand> next(double now);
--- a/src/workers/heartbeat_handler.cpp
+++ b/src/workers/heartbeat_handler.cpp
@@ -18,7 +18,7 @@
 }  // namespace
 
 bool HeartbeatHandler::detect_newer_leader(const Heartbeat& heartbeat) {
-  if (heartbeat.fencing_token <= claim_.fencing_token()) return false;
+  if (!claim_.is_of_newer_leader(heartbeat.fencing_token)) return false;
   claim_.lose("a worker has seen newer fencing token " + std::to_string(heartbeat.fencing_token));
   return true;
 }
@@ -30,6 +30,8 @@
     return outcome;
   }
   Machine& machine = machines_.get_or_add(heartbeat.machine, now);
+  machine.fence.raise_to(heartbeat.fencing_token);
+  outcome.reply.fencing_token = machine.fence.token(claim_.fencing_token());
   // A delayed heartbeat of a machine that has been returned.
   if (machine.state == MachineState::terminated) return outcome;
   if (machine.registered && !heartbeat.id().is_later_than(machine.last_heartbeat_id())) {
@@ -50,6 +52,7 @@
   machine.acknowledgement.on_heartbeat(heartbeat, machine.name);
   if (heartbeat.notice_s >= 0) reclaim_notices_.on_reclaim_notice(machine, heartbeat.notice_s, now);
   outcome.reply.commands = reconciler_.reconcile(machine, heartbeat, now);
+  outcome.reply.fencing_token = machine.fence.token(claim_.fencing_token());
   machine.acknowledgement.on_commands_sent(outcome.reply.commands);
   outcome.needs_round = !was_registered || machine.tasks.size() < tasks_before;
   return outcome;
@@ -100,6 +103,7 @@
   if (machine.epoch != heartbeat.epoch) {
     // A worker refuses direct commands that name an earlier epoch.
     machine.indeterminate_starts.clear();
+    machine.fence.on_new_epoch();
     machine.acknowledgement.on_new_epoch();
   }
   machine.epoch = heartbeat.epoch;
--- a/src/workers/task_reconciler.cpp
+++ b/src/workers/task_reconciler.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <cstddef>
 
 namespace rookdyke {
@@ -43,6 +44,8 @@
                                                      double now) {
   Findings findings = apply_task_list(machine, heartbeat, now);
   reconcile_unlisted(machine, findings, now);
+  if (!findings.forgets.empty() && !fence_direct_starts(machine))
+    hold_back_forgets(machine, findings);
   // Stops free capacity before starts use it. An old attempt is forgotten before the next attempt
   // of its task starts.
   std::vector<WorkerCommand> commands;
@@ -52,6 +55,36 @@
   return commands;
 }
 
+// Makes the reply carry a token with which the worker refuses every copy of the direct starts that
+// it was sent: once it has forgotten an attempt, a copy would start it again. Returns false if that
+// is not possible yet, because the ledger has not changed since, or because the token would also
+// refuse a call in flight.
+bool TaskReconciler::fence_direct_starts(Machine& machine) const {
+  if (machine.fence.refuses_sent_starts(claim_.fencing_token())) return true;
+  if (machine.direct_in_flight) return false;
+  machine.fence.raise_to(claim_.confirmed_revision());
+  if (!machine.fence.refuses_sent_starts(claim_.fencing_token())) return false;
+  spdlog::debug("machine {}: fencing token raised to {}, the worker refuses earlier commands",
+                machine.name, claim_.confirmed_revision());
+  return true;
+}
+
+// The attempts stay in the worker's list until a later heartbeat. Their tasks are not started
+// meanwhile: the worker would refuse a second attempt of a task that it lists.
+void TaskReconciler::hold_back_forgets(const Machine& machine, Findings& findings) {
+  spdlog::debug("machine {}: {} exited attempts stay listed, as direct commands may be repeated",
+                machine.name, findings.forgets.size());
+  const auto is_listed = [&findings](const WorkerCommand& start) {
+    return std::any_of(findings.forgets.begin(), findings.forgets.end(),
+                       [&start](const WorkerCommand& forget) {
+                         return forget.task == start.task && forget.job == start.job;
+                       });
+  };
+  auto& starts = findings.starts;
+  starts.erase(std::remove_if(starts.begin(), starts.end(), is_listed), starts.end());
+  findings.forgets.clear();
+}
+
 void TaskReconciler::apply_listed(Machine& machine, const Heartbeat& heartbeat, double now) {
   apply_task_list(machine, heartbeat, now);
 }
@@ -87,6 +120,9 @@
 void TaskReconciler::handle_unknown_task(Machine& machine, const TaskStatus& status,
                                          Findings& findings) {
   if (status.phase != TaskPhase::exited) {
+    spdlog::info(
+        "machine {}: lists task {}/{} attempt {}, which is not placed there; to be stopped",
+        machine.name, status.job, status.task, status.attempt);
     findings.stops.push_back(command(CommandKind::stop, status));
     machine.has_unknown_tasks = true;
   } else if (!machine.indeterminate_starts.count(status.attempt_ref())) {
--- a/src/workers/task_reconciler.h
+++ b/src/workers/task_reconciler.h
@@ -11,6 +11,7 @@
 #include <tuple>
 #include <vector>
 
+#include "leadership/leadership_claim.h"
 #include "model/job.h"
 #include "model/machine.h"
 #include "scheduler/job_table.h"
@@ -24,14 +25,20 @@
 class TaskReconciler {
  public:
   // All must outlive this object.
-  TaskReconciler(JobTable& jobs, TaskLifecycle& lifecycle, FaultDetector& faults,
-                 ImageTracker& images, const StartPermission& starts)
-      : jobs_(jobs), lifecycle_(lifecycle), faults_(faults), images_(images), starts_(starts) {}
+  TaskReconciler(const LeadershipClaim& claim, JobTable& jobs, TaskLifecycle& lifecycle,
+                 FaultDetector& faults, ImageTracker& images, const StartPermission& starts)
+      : claim_(claim),
+        jobs_(jobs),
+        lifecycle_(lifecycle),
+        faults_(faults),
+        images_(images),
+        starts_(starts) {}
 
   // Reconciles the listed attempts and those missing from the list. The worker must have seen this
   // leader's fencing token: only then does it execute no command of earlier leaders, so that an
   // attempt that it does not list cannot be running or be started by such a command. Returns the
-  // commands for the reply, in the order of execution.
+  // commands for the reply, in the order of execution. May raise the fencing token that the reply
+  // must carry (Machine::fence).
   std::vector<WorkerCommand> reconcile(Machine& machine, const Heartbeat& heartbeat, double now);
   // Applies the status of the listed attempts and ignores those missing from the list.
   void apply_listed(Machine& machine, const Heartbeat& heartbeat, double now);
@@ -68,6 +75,10 @@
   void withdraw_placed(const Machine& machine, Job& job, const Attempt& attempt, Findings& findings,
                        double now);
 
+  bool fence_direct_starts(Machine& machine) const;
+  static void hold_back_forgets(const Machine& machine, Findings& findings);
+
+  const LeadershipClaim& claim_;
   JobTable& jobs_;
   TaskLifecycle& lifecycle_;
   FaultDetector& faults_;
--- a/src/workers/token_announcer.cpp
+++ b/src/workers/token_announcer.cpp
@@ -69,7 +69,11 @@
   ++announcements.count;
   announcements.next_at = std::max(now + kRetryIntervalS, heartbeats_expected_by());
   machine.direct_in_flight = true;
-  return DirectCommand{machine.index, machine.addr, std::max<uint64_t>(1, machine.epoch), {}};
+  return DirectCommand{machine.index,
+                       machine.addr,
+                       std::max<uint64_t>(1, machine.epoch),
+                       machine.fence.token(claim_.fencing_token()),
+                       {}};
 }
 
 }  // namespace rookdyke
--- a/src/workers/token_announcer.h
+++ b/src/workers/token_announcer.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 
+#include "leadership/leadership_claim.h"
 #include "model/machine.h"
 #include "model/scheduler_messages.h"
 #include "model/settings.h"
@@ -24,10 +25,13 @@
 
 class TokenAnnouncer {
  public:
-  // `settings` and `machines` must outlive this object. `term_started_at`: when this leader's term
-  // began.
-  TokenAnnouncer(const Settings& settings, MachineTable& machines, double term_started_at)
-      : settings_(settings), machines_(machines), term_started_at_(term_started_at) {}
+  // All references must outlive this object. `term_started_at`: when this leader's term began.
+  TokenAnnouncer(const Settings& settings, const LeadershipClaim& claim, MachineTable& machines,
+                 double term_started_at)
+      : settings_(settings),
+        claim_(claim),
+        machines_(machines),
+        term_started_at_(term_started_at) {}
 
   // Returns the next announcement to send, if any, and marks the machine's call as in flight.
   std::optional<DirectCommand> next_announcement(double now);
@@ -50,6 +54,7 @@
   bool waits_for_heartbeats(double now) const;
 
   const Settings& settings_;
+  const LeadershipClaim& claim_;
   MachineTable& machines_;
   const double term_started_at_;
   std::map<Index, Announcements> announcements_;  // by machine
--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -51,6 +51,7 @@
 //   at T keep_copies P for S      copies of heartbeats, by that chance, reach all controllers
 //                                 within 0.3 s after the next leader is elected
 //   at T hold_commands P S for D  direct commands or their answers are delayed by up to S seconds
+//   at T repeat_commands P S for D  copies of executed direct commands arrive up to S seconds later
 //   at T zone_cut ZONE for S [hold]     its machines and controllers are cut from all outside of
 //                                 it; controller i lies in zone i modulo their number
 //   at T mute MACHINES [in ZONE] for S  they reach no controller; direct commands reach them
@@ -77,7 +78,9 @@
 //   expect largest_write at_most N    bytes of a value, since the limits were lowered
 //   expect rejected at_least|at_most N    transactions beyond the limits
 //   expect machines|hires|returns at_least|at_most N [by T]    at the end, or at that time
-//   expect met WHAT at_least N    how often faults coincided (World::record_event)
+//   expect met WHAT at_least|at_most N    how often faults coincided (World::record_event), or
+//                                 what workers sent: heartbeats, exited_listed (attempts that had
+//                                 exited, in all heartbeats), longest_list (of a heartbeat)
 //   expect leader                 at the end
 //   expect all_known              every accepted job is done or aborted at the end
 //   expect fair                   the users' shares: half of each class, team and class's largest
--- a/tests/scenario/actions.cpp
+++ b/tests/scenario/actions.cpp
@@ -120,6 +120,11 @@
   change_for_a_while(line, world, &Faults::kept_heartbeats, line.number(3));
 }
 
+void repeat_commands(const Line& line, World& world) {
+  change_for_a_while(line, world, &Faults::repeated_commands, line.number(3));
+  change_for_a_while(line, world, &Faults::repeated_commands_s, line.number(4));
+}
+
 void hold_commands(const Line& line, World& world) {
   change_for_a_while(line, world, &Faults::held_commands, line.number(3));
   change_for_a_while(line, world, &Faults::held_commands_s, line.number(4));
@@ -287,6 +292,7 @@
       {"keep_copies", keep_copies},
       {"close_looks", close_looks},
       {"hold_commands", hold_commands},
+      {"repeat_commands", repeat_commands},
       {"cancel_at_end", cancel_at_end},
       {"odd_requests", odd_requests},
       {"cancel_now", cancel_now},
--- a/tests/simulation/faults.h
+++ b/tests/simulation/faults.h
@@ -15,6 +15,8 @@
   double lost_answers = 0;  // chance per transaction to be executed at once and not answered
   // Direct commands or their answers are held up: chance, and for up to how long.
   double held_commands = 0, held_commands_s = 0;
+  // Chance per executed direct command that a copy of it comes later, and up to how much later.
+  double repeated_commands = 0, repeated_commands_s = 0;
   double slow_state_s = 0;   // the state service answers after up to so many seconds
   double cancel_at_end = 0;  // chance that a job is cancelled as its last task ends
   double never_boots = 0;    // chance that a machine never comes up
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -103,6 +103,14 @@
     kept_heartbeats_.push_back(heartbeat);
 }
 
+void World::count_heartbeat(const Heartbeat& heartbeat) {
+  ++event_counts["heartbeats"];
+  for (const TaskStatus& status : heartbeat.tasks)
+    event_counts["exited_listed"] += status.phase == TaskPhase::exited;
+  size_t& longest = event_counts["longest_list"];
+  longest = std::max(longest, heartbeat.tasks.size());
+}
+
 void World::record_event(const std::string& what) {
   ++event_counts[what];
   spdlog::debug("{:.3f}: met {}", clock.now, what);
--- a/tests/simulation/world.h
+++ b/tests/simulation/world.h
@@ -60,6 +60,8 @@
   // demands that it brings about what it is for.
   void record_event(const std::string& what);
   std::map<std::string, size_t> event_counts;
+  // Counts a heartbeat and the attempts that it lists.
+  void count_heartbeat(const Heartbeat& heartbeat);
 
   // Never the same twice: a step scheduled for a forgotten attempt must not fire for the next one.
   uint64_t new_step() { return ++steps_; }
