An unanswered direct command keeps no task of its job from the machine

Cause: the attempts of a direct command without an answer were noted on the machine and never forgotten by its worker, and the machine was refused to their whole job until its epoch or the leader changed.

Fix: the notes guarded against late copies of the command. A worker refuses those since it forgets attempts only with a higher fencing token, so notes and refusal go; one mechanism serves commands with and without an answer. An attempt that is to stop, and that its worker doesn't list, ends once a heartbeat with a token above that of its direct start doesn't list it; it is no longer started in order to be stopped. If the ledger hasn't changed since, its page is written once to obtain a token.

--- a/src/model/job.h
+++ b/src/model/job.h
@@ -30,7 +30,7 @@
   double running_since = 0;           // when it last entered state `running`; 0: never
   bool known_healthy = false;         // a replica that has run long enough to count as a success
   bool preemption_exempt = false;     // placed while its job was starved: never a preemption victim
-  bool direct_start_pending = false;  // a direct start command may still be executed
+  uint64_t direct_start_token = 0;    // of the latest direct call with its start; 0: none
 };
 
 // Size of a chunk (consecutive tasks of a job) and the page that holds it.
--- a/src/model/machine.h
+++ b/src/model/machine.h
@@ -61,10 +61,6 @@
   double unacknowledged_since = -1;        // unreachable since then; negative: reachable
   bool direct_in_flight = false;           // a call with direct commands is in flight
   CommandFence fence;                      // the fencing token of its commands
-  // Attempts whose direct start command has an indeterminate outcome. A delayed copy of the command
-  // may be executed while the fencing token and the epoch are unchanged, and would restart an
-  // attempt that the worker was told to forget. These attempts therefore get no `forget` command.
-  std::set<AttemptRef> indeterminate_starts;
   // Whether its worker does not receive the replies to its heartbeats, although heartbeats arrive.
   bool is_unreachable() const { return acknowledgement.is_unreachable(); }
 
--- a/src/model/types.h
+++ b/src/model/types.h
@@ -147,10 +147,6 @@
   std::string job;
   uint32_t task = 0;
   uint64_t attempt = 0;
-
-  bool operator<(const AttemptRef& other) const {
-    return std::tie(job, task, attempt) < std::tie(other.job, other.task, other.attempt);
-  }
 };
 
 // Phase of an attempt on its worker, in order.
@@ -168,7 +164,6 @@
   bool is_of(const AttemptRef& ref) const {
     return task == ref.task && attempt == ref.attempt && job == ref.job;
   }
-  AttemptRef attempt_ref() const { return {job, task, attempt}; }
 };
 
 // Identifies a heartbeat among those of its machine.
--- a/src/placement/eligibility.cpp
+++ b/src/placement/eligibility.cpp
@@ -1,7 +1,5 @@
 #include "placement/eligibility.h"
 
-#include <algorithm>
-
 namespace rookdyke {
 
 namespace {
@@ -24,13 +22,6 @@
   if (machine.reserved_for != kNone && machine.reserved_for != job.id &&
       now < machine.reserved_until)
     return false;
-  // The outcome of a direct start of an earlier attempt of this job on the machine is
-  // indeterminate. While the worker's epoch lasts, that attempt must not be cleared from the
-  // worker's list of tasks, so the machine takes no further attempt of the job.
-  const auto& indeterminate = machine.indeterminate_starts;
-  if (std::any_of(indeterminate.begin(), indeterminate.end(),
-                  [&](const auto& start) { return start.job == job.spec.id; }))
-    return false;
   return !job.failed_machines.count(machine.index) ||
          job.failed_machines.size() >= kMaxAvoidedMachines;
 }
--- a/src/placement/placement_search.cpp
+++ b/src/placement/placement_search.cpp
@@ -139,8 +139,7 @@
     ++k;
     ++work_.machines_examined;
     // A result that depends on this job must not be recorded as unplaceable for other jobs.
-    job_specific =
-        job_specific || machine.reserved_for != kNone || !machine.indeterminate_starts.empty();
+    job_specific = job_specific || machine.reserved_for != kNone;
     if (!eligibility_.may_run(job, machine, now)) continue;
     const uint32_t slots = slots_on(job, machine);
     if (slots == 0 || (requires_image && !has_image(job, machine))) continue;
--- a/src/scheduler/task_lifecycle.h
+++ b/src/scheduler/task_lifecycle.h
@@ -59,6 +59,10 @@
   // the result of its transaction decides whether it starts. `reason` is logged. May erase the job
   // if it is finished.
   void end(Job& job, uint32_t task, ExitCause cause, double now, const char* reason);
+  // Has the ledger's state of a placed task written again although it has not changed.
+  void rewrite(Job& job, uint32_t task, double now) {
+    pages_.mark_changed(job, task, WriteUrgency::restart, now);
+  }
   // Removes an attempt whose end is durable, whose start was never commanded, or whose job is done.
   // If the job is open and the task is not done, the task waits for a new attempt.
   void release(Job& job, uint32_t task);
--- a/src/workers/command_fence.h
+++ b/src/workers/command_fence.h
@@ -3,9 +3,9 @@
 // delayed or repeated copy of it, for as long as it has seen no higher token than the command's. A
 // higher token therefore makes every copy of earlier direct commands harmless.
 //
-// Must be raised before an attempt that a direct command may have started is forgotten: a copy of
-// the command would start it again. Part of Machine; without any direct start it stays at the token
-// of the leader's term.
+// Must be raised before the worker forgets an attempt that a direct command has started, and before
+// one that a direct command may still start is taken for gone: a copy of the command would start
+// it. Part of Machine; without any direct start it stays at the token of the leader's term.
 
 #include <algorithm>
 #include <cstdint>
--- a/src/workers/direct_commands.cpp
+++ b/src/workers/direct_commands.cpp
@@ -53,10 +53,10 @@
     from = *taken + 1;
     Machine& machine = machines_[*taken];
     if (!is_reachable(machine, now)) continue;
-    std::vector<WorkerCommand> commands = commands_for(machine);
+    const uint64_t token = machine.fence.token(claim_.fencing_token());
+    std::vector<WorkerCommand> commands = commands_for(machine, token);
     if (commands.empty()) continue;
     machine.direct_in_flight = true;
-    const uint64_t token = machine.fence.token(claim_.fencing_token());
     if (contains_start(commands)) machine.fence.on_direct_start_sent(token);
     return DirectCommand{machine.index, machine.addr, machine.epoch, token, std::move(commands)};
   }
@@ -76,14 +76,14 @@
 }
 
 // Stops come first, so that they free capacity for the starts.
-std::vector<WorkerCommand> DirectCommands::commands_for(const Machine& machine) {
+std::vector<WorkerCommand> DirectCommands::commands_for(const Machine& machine, uint64_t token) {
   std::vector<WorkerCommand> stops, starts;
   for (const auto& [job_index, task] : machine.tasks) {
     Job& job = jobs_[job_index];
     Attempt& attempt = job.attempts.at(task);
     if (starts_.may_start(job, attempt) && attempt.epoch == machine.epoch) {
       starts.push_back({CommandKind::start, job.spec.id, task, attempt.number, 0});
-      attempt.direct_start_pending = true;
+      attempt.direct_start_token = token;
     } else if (needs_stop(attempt)) {
       stops.push_back({CommandKind::stop, job.spec.id, task, attempt.number, attempt.grace_s});
     }
@@ -103,10 +103,8 @@
   if (heartbeat && heartbeat->fencing_token > call.fencing_token)
     spdlog::debug("machine {}: refused direct commands with token {}, has seen {}", machine.name,
                   call.fencing_token, heartbeat->fencing_token);
-  if (outcome_known)
-    clear_direct_starts(machine, call);
-  else if (!call.commands.empty())
-    record_indeterminate(machine, call, now);
+  if (!outcome_known && !call.commands.empty())
+    back_off_until_[machine.index] = now + kBackOffAfterFailureS;
   if (!heartbeat || machine.state == MachineState::terminated) return false;
   if (!machine.registered) return on_announcement_response(machine, call, *heartbeat, now);
   if (heartbeat->epoch != machine.epoch || heartbeat->seq <= machine.seq) return false;
@@ -117,27 +115,6 @@
   return false;
 }
 
-// Once the outcome of a call is known, no copy of its starts is executed later, unless an earlier
-// call with the same start has an indeterminate outcome.
-void DirectCommands::clear_direct_starts(const Machine& machine, const DirectCommand& call) {
-  for (const WorkerCommand& command : call.commands) {
-    if (command.kind != CommandKind::start) continue;
-    if (machine.indeterminate_starts.count(command.attempt_ref())) continue;
-    Job* job = jobs_.find(command.job);
-    if (!job) continue;
-    const auto attempt = job->attempts.find(command.task);
-    if (attempt != job->attempts.end() && attempt->second.number == command.attempt)
-      attempt->second.direct_start_pending = false;
-  }
-}
-
-void DirectCommands::record_indeterminate(Machine& machine, const DirectCommand& call, double now) {
-  back_off_until_[machine.index] = now + kBackOffAfterFailureS;
-  for (const WorkerCommand& command : call.commands)
-    if (command.kind == CommandKind::start)
-      machine.indeterminate_starts.insert(command.attempt_ref());
-}
-
 // A response belongs to a call of this controller, so unlike a heartbeat it cannot be a delayed
 // copy.
 bool DirectCommands::on_announcement_response(Machine& machine, const DirectCommand& call,
--- a/src/workers/direct_commands.h
+++ b/src/workers/direct_commands.h
@@ -5,9 +5,9 @@
 // PendingCommands; when none of them can be called, TokenAnnouncer may choose one. Commands that a
 // call does not deliver are sent with the reply to the machine's next heartbeat.
 //
-// Called by the daemon's CommandDispatcher through the scheduler. Guarantees that a start whose
-// call has an indeterminate outcome stays recorded (Machine::indeterminate_starts,
-// Attempt::direct_start_pending) for as long as a delayed copy of it may be executed.
+// Called by the daemon's CommandDispatcher through the scheduler. Records the token of each start
+// that it sends (Machine::fence, Attempt::direct_start_token): whatever the outcome of the call, a
+// copy of it may be executed until the worker has seen a higher token.
 
 #include <map>
 #include <optional>
@@ -53,9 +53,7 @@
  private:
   bool may_call(const Machine& machine, double now) const;
   bool is_reachable(const Machine& machine, double now) const;
-  std::vector<WorkerCommand> commands_for(const Machine& machine);
-  void clear_direct_starts(const Machine& machine, const DirectCommand& call);
-  void record_indeterminate(Machine& machine, const DirectCommand& call, double now);
+  std::vector<WorkerCommand> commands_for(const Machine& machine, uint64_t token);
   bool on_announcement_response(Machine& machine, const DirectCommand& call,
                                 const Heartbeat& heartbeat, double now);
 
--- a/src/workers/heartbeat_handler.cpp
+++ b/src/workers/heartbeat_handler.cpp
@@ -101,8 +101,6 @@
   machine.was_up = true;
   machine.last_heartbeat = now;
   if (machine.epoch != heartbeat.epoch) {
-    // A worker refuses direct commands that name an earlier epoch.
-    machine.indeterminate_starts.clear();
     machine.fence.on_new_epoch();
     machine.acknowledgement.on_new_epoch();
   }
--- a/src/workers/task_reconciler.cpp
+++ b/src/workers/task_reconciler.cpp
@@ -43,9 +43,12 @@
 std::vector<WorkerCommand> TaskReconciler::reconcile(Machine& machine, const Heartbeat& heartbeat,
                                                      double now) {
   Findings findings = apply_task_list(machine, heartbeat, now);
-  reconcile_unlisted(machine, findings, now);
-  if (!findings.forgets.empty() && !fence_direct_starts(machine))
+  reconcile_unlisted(machine, heartbeat, findings, now);
+  const bool needs_fence = !findings.forgets.empty() || !findings.startable.empty();
+  if (needs_fence && !fence_direct_starts(machine)) {
     hold_back_forgets(machine, findings);
+    request_higher_token(machine, findings, now);
+  }
   // Stops free capacity before starts use it. An old attempt is forgotten before the next attempt
   // of its task starts.
   std::vector<WorkerCommand> commands;
@@ -56,9 +59,9 @@
 }
 
 // Makes the reply carry a token with which the worker refuses every copy of the direct starts that
-// it was sent: once it has forgotten an attempt, a copy would start it again. Returns false if that
-// is not possible yet, because the ledger has not changed since, or because the token would also
-// refuse a call in flight.
+// it was sent: a copy would start an attempt that the worker has forgotten or never had. Returns
+// false if that is not possible yet, because the ledger has not changed since, or because the token
+// would also refuse a call in flight.
 bool TaskReconciler::fence_direct_starts(Machine& machine) const {
   if (machine.fence.refuses_sent_starts(claim_.fencing_token())) return true;
   if (machine.direct_in_flight) return false;
@@ -72,6 +75,7 @@
 // The attempts stay in the worker's list until a later heartbeat. Their tasks are not started
 // meanwhile: the worker would refuse a second attempt of a task that it lists.
 void TaskReconciler::hold_back_forgets(const Machine& machine, Findings& findings) {
+  if (findings.forgets.empty()) return;
   spdlog::debug("machine {}: {} exited attempts stay listed, as direct commands may be repeated",
                 machine.name, findings.forgets.size());
   const auto is_listed = [&findings](const WorkerCommand& start) {
@@ -85,6 +89,15 @@
   findings.forgets.clear();
 }
 
+// An attempt that may still start keeps its resources and, if its job is cancelled, its machine. So
+// the ledger is written for its sake, which yields a higher token.
+void TaskReconciler::request_higher_token(const Machine& machine, const Findings& findings,
+                                          double now) {
+  if (machine.direct_in_flight || findings.startable.empty()) return;
+  const TaskKey& first = findings.startable.front();
+  lifecycle_.rewrite(jobs_[first.job], first.task, now);
+}
+
 void TaskReconciler::apply_listed(Machine& machine, const Heartbeat& heartbeat, double now) {
   apply_task_list(machine, heartbeat, now);
 }
@@ -125,7 +138,7 @@
         machine.name, status.job, status.task, status.attempt);
     findings.stops.push_back(command(CommandKind::stop, status));
     machine.has_unknown_tasks = true;
-  } else if (!machine.indeterminate_starts.count(status.attempt_ref())) {
+  } else {
     findings.forgets.push_back(command(CommandKind::forget, status));
   }
 }
@@ -184,16 +197,17 @@
 
 // ---------------------------------------------------------------- attempts not listed
 
-void TaskReconciler::reconcile_unlisted(Machine& machine, Findings& findings, double now) {
+void TaskReconciler::reconcile_unlisted(const Machine& machine, const Heartbeat& heartbeat,
+                                        Findings& findings, double now) {
   const auto tasks = machine.tasks;  // a copy, because ended attempts are removed from the list
   for (const auto& [job_index, task] : tasks) {
     if (findings.listed.count({job_index, task})) continue;
     Job& job = jobs_[job_index];
-    reconcile_unlisted_task(machine, job, job.attempts.at(task), findings, now);
+    reconcile_unlisted_task(heartbeat, job, job.attempts.at(task), findings, now);
   }
 }
 
-void TaskReconciler::reconcile_unlisted_task(const Machine& machine, Job& job, Attempt& attempt,
+void TaskReconciler::reconcile_unlisted_task(const Heartbeat& heartbeat, Job& job, Attempt& attempt,
                                              Findings& findings, double now) {
   if (attempt.state == AttemptState::proposed) return;
   if (attempt.state != AttemptState::placed) {
@@ -203,28 +217,23 @@
     return;
   }
   if (attempt.stop_requested)
-    withdraw_placed(machine, job, attempt, findings, now);
+    withdraw_placed(heartbeat, job, attempt, findings, now);
   else if (starts_.may_start(job, attempt))
     findings.starts.push_back(command(CommandKind::start, job, attempt));
 }
 
 // Handles an attempt that is to stop and that no heartbeat of its machine has listed yet.
-void TaskReconciler::withdraw_placed(const Machine& machine, Job& job, const Attempt& attempt,
+void TaskReconciler::withdraw_placed(const Heartbeat& heartbeat, Job& job, const Attempt& attempt,
                                      Findings& findings, double now) {
-  if (!attempt.direct_start_pending) {
-    // Its start was either never sent, or sent in the reply to an earlier heartbeat. Since this
-    // heartbeat does not list the attempt, the worker has discarded that reply or never received
-    // it.
-    lifecycle_.end(job, attempt.task, ExitCause::none, now,
-                   "not on its machine, and no start command is pending");
+  if (heartbeat.fencing_token <= attempt.direct_start_token) {
+    findings.startable.push_back({job.id, attempt.task});
     return;
   }
-  // A delayed direct command may still start the attempt. To make it harmless, the reply starts the
-  // attempt and stops it at once: the worker then lists it as exited, and a delayed start of a
-  // listed attempt has no effect.
-  if (machine.direct_in_flight) return;
-  findings.starts.push_back(command(CommandKind::start, job, attempt));
-  findings.starts.push_back(command(CommandKind::stop, job, attempt));
+  // The worker refuses its direct starts. A start in the reply to an earlier heartbeat is not
+  // executed any more either: since this heartbeat does not list the attempt, the worker has
+  // discarded that reply or never received it.
+  lifecycle_.end(job, attempt.task, ExitCause::none, now,
+                 "not on its machine, and its start commands are refused");
 }
 
 }  // namespace rookdyke
--- a/src/workers/task_reconciler.h
+++ b/src/workers/task_reconciler.h
@@ -44,17 +44,19 @@
   void apply_listed(Machine& machine, const Heartbeat& heartbeat, double now);
 
  private:
-  struct ListedTask {
+  struct TaskKey {
     Index job = kNone;
     uint32_t task = 0;
-    bool operator<(const ListedTask& other) const {
+    bool operator<(const TaskKey& other) const {
       return std::tie(job, task) < std::tie(other.job, other.task);
     }
   };
   // The tasks that a heartbeat lists, and the commands for its reply.
   struct Findings {
-    std::set<ListedTask> listed;
+    std::set<TaskKey> listed;
     std::vector<WorkerCommand> forgets, stops, starts;
+    // Attempts to be ended that a copy of their direct start may still start.
+    std::vector<TaskKey> startable;
   };
 
   Findings apply_task_list(Machine& machine, const Heartbeat& heartbeat, double now);
@@ -69,14 +71,16 @@
   void apply_exit(Machine& machine, Job& job, const Attempt& attempt, ExitCause cause, double now);
   static void record_replica_run(Machine& machine, Job& job, Attempt& attempt, double now);
 
-  void reconcile_unlisted(Machine& machine, Findings& findings, double now);
-  void reconcile_unlisted_task(const Machine& machine, Job& job, Attempt& attempt,
+  void reconcile_unlisted(const Machine& machine, const Heartbeat& heartbeat, Findings& findings,
+                          double now);
+  void reconcile_unlisted_task(const Heartbeat& heartbeat, Job& job, Attempt& attempt,
                                Findings& findings, double now);
-  void withdraw_placed(const Machine& machine, Job& job, const Attempt& attempt, Findings& findings,
-                       double now);
+  void withdraw_placed(const Heartbeat& heartbeat, Job& job, const Attempt& attempt,
+                       Findings& findings, double now);
 
   bool fence_direct_starts(Machine& machine) const;
   static void hold_back_forgets(const Machine& machine, Findings& findings);
+  void request_higher_token(const Machine& machine, const Findings& findings, double now);
 
   const LeadershipClaim& claim_;
   JobTable& jobs_;
--- a/tests/scheduler/command_fence_test.cpp
+++ b/tests/scheduler/command_fence_test.cpp
@@ -188,6 +188,72 @@
   EXPECT_EQ(reply.fencing_token, kLeaderToken);
 }
 
+// The machine would be refused to the waiting tasks of the job until its epoch or the leader
+// changes.
+TEST_F(CommandFenceTest, AnUnansweredDirectStartKeepsNoOtherTaskOfItsJobFromTheMachine) {
+  report(1);
+  submit("wk-000001", 1, 8);
+  start_all(1);
+  const auto call = scheduler.next_direct_command(1);
+  ASSERT_TRUE(call && count_starts(call->commands) == 4);
+  scheduler.on_direct_command_result(*call, false, std::nullopt, 2);
+  for (uint32_t i = 0; i < 4; ++i)
+    listed.push_back({"wk-000001", i, 1, TaskPhase::exited, ExitCause::done, false});
+  for (const double now : {2, 7, 12}) report(now);
+  start_all(12);
+  listed.clear();
+  report(13);
+  start_all(13);
+  EXPECT_EQ(scheduler.find_job("wk-000001")->attempts.size(), 4u);
+}
+
+// Its task would start elsewhere, and beside it a copy of the command that nobody answered.
+TEST_F(CommandFenceTest, AnUnlistedAttemptEndsOnceTheWorkerRefusesItsDirectStart) {
+  report(1);
+  submit("wk-000001", 1);
+  start_all(1);
+  const auto call = scheduler.next_direct_command(1);
+  ASSERT_TRUE(call && count_starts(call->commands) == 1);
+  scheduler.on_direct_command_result(*call, false, std::nullopt, 2);
+  CachedJob row = job_row(1, ++revision);
+  row.row.status = ledger::JobStatus::cancelled;
+  scheduler.on_job_row(row, "wk-000001", 2);
+  const HeartbeatReply reply = report(3);
+  EXPECT_TRUE(scheduler.find_job("wk-000001"));
+  EXPECT_EQ(count_starts(reply.commands), 0u);  // not even to be stopped at once
+  EXPECT_GT(reply.fencing_token, call->fencing_token);
+  report(4);  // sent before the worker received that reply
+  EXPECT_TRUE(scheduler.find_job("wk-000001"));
+  seen = reply.fencing_token;
+  report(5);
+  EXPECT_FALSE(scheduler.find_job("wk-000001"));
+}
+
+// Without a write of the leader there would be no higher token, and the attempt would never end.
+TEST_F(CommandFenceTest, TheLedgerIsWrittenIfAHigherTokenIsNeeded) {
+  report(1);
+  start_directly("wk-000001", 1);
+  exit("wk-000001", ExitCause::done);
+  for (const double now : {2, 7, 12, 17}) report(now);
+  submit("wk-000002", 17);
+  start_all(20);
+  const HeartbeatReply forgets_first = report(20);
+  const auto call = scheduler.next_direct_command(20);
+  ASSERT_TRUE(call && count_starts(call->commands) == 1);
+  ASSERT_EQ(call->fencing_token, forgets_first.fencing_token);
+  scheduler.on_direct_command_result(*call, false, std::nullopt, 21);
+  CachedJob row = job_row(1, ++revision);
+  row.row.status = ledger::JobStatus::cancelled;
+  scheduler.on_job_row(row, "wk-000002", 21);
+  listed.clear();
+  EXPECT_EQ(report(22).fencing_token, call->fencing_token);
+  write_all(30);
+  seen = report(30).fencing_token;
+  EXPECT_GT(seen, call->fencing_token);
+  report(31);
+  EXPECT_FALSE(scheduler.find_job("wk-000002"));
+}
+
 // A worker whose epoch rose refuses every copy of earlier calls; nothing needs to be raised for it.
 TEST_F(CommandFenceTest, DirectStartsOfAnEarlierEpochNeedNoHigherToken) {
   report(1);
