--- a/tests/scheduler/command_fence_test.cpp
+++ b/tests/scheduler/command_fence_test.cpp
@@ -45,6 +45,17 @@
         reply.commands.begin(), reply.commands.end(),
         [](const WorkerCommand& command) { return command.kind == CommandKind::forget; }));
   }
+  // An attempt that was started directly exits, and its end is written.
+  void expect_forgotten_with_higher_token(ExitCause cause) {
+    report(1);
+    const DirectCommand call = start_directly("wk-000001", 1);
+    exit("wk-000001", cause);
+    EXPECT_EQ(count_forgets(report(2)), 0u);  // its end is not durable yet
+    write_all(20);
+    const HeartbeatReply reply = report(21);
+    EXPECT_EQ(count_forgets(reply), 1u);
+    EXPECT_GT(reply.fencing_token, call.fencing_token);
+  }
 
   std::vector<TaskStatus> listed;
   uint64_t seq = 0, seen = kLeaderToken;
@@ -53,26 +64,12 @@
 // If the token stayed the same, a copy of the start would start the forgotten attempt again, beside
 // the next attempt of its task.
 TEST_F(CommandFenceTest, AnAttemptIsForgottenWithATokenAboveThatOfItsDirectStart) {
-  report(1);
-  const DirectCommand call = start_directly("wk-000001", 1);
-  exit("wk-000001", ExitCause::error);
-  EXPECT_EQ(count_forgets(report(2)), 0u);  // its end is not durable yet
-  write_all(20);
-  const HeartbeatReply reply = report(21);
-  EXPECT_EQ(count_forgets(reply), 1u);
-  EXPECT_GT(reply.fencing_token, call.fencing_token);
+  expect_forgotten_with_higher_token(ExitCause::error);
 }
 
 // A start that was refused for lack of room would succeed when its copy comes.
 TEST_F(CommandFenceTest, ARefusedStartIsForgottenWithAHigherToken) {
-  report(1);
-  const DirectCommand call = start_directly("wk-000001", 1);
-  exit("wk-000001", ExitCause::insufficient_resources);
-  report(2);
-  write_all(20);
-  const HeartbeatReply reply = report(21);
-  EXPECT_EQ(count_forgets(reply), 1u);
-  EXPECT_GT(reply.fencing_token, call.fencing_token);
+  expect_forgotten_with_higher_token(ExitCause::insufficient_resources);
 }
 
 // A copy would start a task of a job whose user has been told that it is cancelled. The end of such
