--- a/review/6/case.cpp
+++ b/review/7/main.cpp
@@ -52,21 +52,20 @@
       if (!w->spot() && !w->tasks_present().empty()) busy.push_back(w);
     return busy;
   };
-  if (!wait_until(20, [&] { return busy_ordinary().size() >= 10; }))
+  if (!wait_until(20, [&] { return busy_ordinary().size() >= 9; }))
     finish(kCannotRun, "the machines did not get their work in time", &platform);
-  pause_s(0.5);
 
   std::vector<Worker*> victims = busy_ordinary();
   victims.resize(6);
   if (trouble()) {
     const double cut_at = now();
     for (Worker* w : victims) w->cut();
-    // Until all leases have run out, and half a second more.
+    // Until all leases have run out, and a moment more.
     wait_until(cut_at + 25, [&] {
       return std::all_of(victims.begin(), victims.end(),
                          [](Worker* w) { return w->is_gone() || w->tenure() > 1; });
     });
-    pause_s(0.5);
+    pause_s(0.2);
     std::vector<std::thread> heals;
     for (Worker* w : victims) heals.emplace_back([w] { w->heal(); });
     for (std::thread& t : heals) t.join();
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 flags=$(pkg-config --cflags --libs cpp-httplib)
-for source in review/[45678]/case.cpp; do
+for source in review/[45678]/main.cpp; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   # shellcheck disable=SC2086
