--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -191,6 +191,12 @@
     return found;
   }
   size_t refused_for_rate() const { return refused_; }
+  // Rows from before the test; to be called before anybody connects.
+  void preload(const std::string& key, const json& value) {
+    std::lock_guard lock(mutex_);
+    ++ledger_;
+    change(key, false, value, 0);
+  }
 
   // Decides what becomes of a transaction before it is carried out; called without a lock.
   // Returns true to go on as usual, false to leave it without an answer (not carried out).
@@ -1202,6 +1208,16 @@
     return controllers_[i].pid;
   }
   int unexpected_ends() const { return unexpected_ends_; }
+  // From now on a process that holds more than this is killed, and restarted as after any end.
+  void limit_memory(double mb) { memory_mb_ = mb; }
+  int ends_for_memory() const { return ends_for_memory_; }
+  double most_memory_mb() const { return most_memory_mb_; }
+  static double memory_mb(pid_t pid) {
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    for (std::string text; std::getline(status, text);)
+      if (text.rfind("RssAnon:", 0) == 0) return std::stod(text.substr(8)) / 1024;
+    return 0;
+  }
 
  private:
   struct Controller {
@@ -1247,9 +1263,21 @@
     c.pid = 0;
     c.restart_at = now() + restart_s_;
   }
+  void check_memory(size_t i) {
+    const pid_t process = pid(i);
+    if (process <= 0) return;
+    const double used_mb = memory_mb(process);
+    most_memory_mb_ = std::max(most_memory_mb_.load(), used_mb);
+    if (memory_mb_ <= 0 || used_mb <= memory_mb_) return;
+    record().line("controller %s holds %.0f MB, over its limit of %.0f MB: killed",
+                  controllers_[i].node.label.c_str(), used_mb, memory_mb_.load());
+    ++ends_for_memory_;
+    kill_now(i);
+  }
   void keep() {
     while (!stopping_) {
       pause_s(0.05);
+      for (size_t i = 0; i < controllers_.size(); ++i) check_memory(i);
       for (size_t i = 0; i < controllers_.size(); ++i) {
         bool restart = false;
         {
@@ -1277,7 +1305,8 @@
   const double restart_s_;
   std::mutex mutex_;
   std::atomic<bool> stopping_{false};
-  std::atomic<int> unexpected_ends_{0};
+  std::atomic<int> unexpected_ends_{0}, ends_for_memory_{0};
+  std::atomic<double> memory_mb_{0}, most_memory_mb_{0};
   std::thread keeper_;
 };
 
