--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -1139,6 +1139,11 @@
 
 // ---------------------------------------------------------------- controllers
 
+inline std::string& temporary_folder() {
+  static std::string path;
+  return path;
+}
+
 // Starts, kills and restarts controllers with the command of the deploy file.
 class Platform {
  public:
@@ -1151,7 +1156,7 @@
         for (std::string word; words >> word;) command_.push_back(word);
       }
     char path[] = "/tmp/rookdyke-review-XXXXXX";
-    folder_ = mkdtemp(path);
+    folder_ = temporary_folder() = mkdtemp(path);
     for (int i = 0; i < count; ++i) {
       Controller c;
       c.node = {"croft-" + std::to_string(i), free_port()};
@@ -1465,6 +1470,9 @@
   std::thread([limit_s] {
     pause_s(limit_s);
     record().line("time is up: the case could not run to its end");
+    std::error_code ignored;
+    if (!getenv("KEEP_LOGS") && !temporary_folder().empty())
+      std::filesystem::remove_all(temporary_folder(), ignored);
     _exit(kCannotRun);  // the controllers end with this process (PR_SET_PDEATHSIG)
   }).detach();
 }
