Machines taken for unreachable are cleared by a sign of their own, or returned

Cause, by a trace with a log line at the mark: a heartbeat that was held back arrives at most 15 ms before the first one of the next epoch, which was taken for a reply that was lost. Only a command that the worker takes up undid the mark, and an empty machine that gets no tasks gets no command; five and more machines that are 15% of all were not returned either.

The mark now ends by a fencing token that only replies carry, by an epoch that outlasts a lease, or by a command taken up. Machines without a sign are returned, many at once after the mass outage timeout. The time of the last reply is no longer moved by a stall of the process, which marked a whole deployment, and commands for the response to an announcement no longer count as sent.

CommandAcknowledgement is ReplyTracker now.

--- a/src/fleet/machine_monitor.cpp
+++ b/src/fleet/machine_monitor.cpp
@@ -17,7 +17,8 @@
 // As a multiple of cancel_s: machines that are not registered are not returned because of a
 // cancellation older than this, since the ledger's record of their tasks is probably outdated.
 constexpr double kCancellationExpiryFactor = 2;
-// A machine is returned once its heartbeats have shown for this long that it receives no replies.
+// A machine is returned once its worker has acknowledged no reply for this long. Also the time for
+// which a machine may go on sending the token of an earlier leader.
 constexpr double kUnreachableTimeoutS = 8;
 // Minimum number of heartbeats with an older fencing token before a machine is returned because it
 // does not adopt the token of this leader.
@@ -31,7 +32,7 @@
 // heartbeat is older.
 constexpr double kMassOutageIntervals = 1.6;
 // If at least this many machines, and this share of the registered ones, are unreachable, the cause
-// is probably that this leader is slow.
+// is probably that this leader is slow, and they are returned only after the mass outage timeout.
 constexpr size_t kManyUnreachableMinMachines = 5;
 constexpr double kManyUnreachableMinShare = 0.15;
 // If at least this many machines, and this many tenths of the registered ones, miss heartbeats,
@@ -198,8 +199,8 @@
   };
   for (const auto& machine : machines_) {
     move_forward(machine->last_heartbeat);
-    move_forward(machine->unacknowledged_since);
     move_forward(machine->older_token_since);
+    machine->replies.on_process_stall(stall_s, now);
   }
   mass_outage_until_ = -1;
 }
@@ -237,10 +238,6 @@
   boot_tracker_.update(now);
   const bool many_unreachable = are_many_unreachable();
   for (const auto& machine : machines_) {
-    if (!machine->is_unreachable())
-      machine->unacknowledged_since = -1;
-    else if (machine->unacknowledged_since < 0)
-      machine->unacknowledged_since = now;
     if (terminate_if_uncontrollable(*machine, many_unreachable, now)) continue;
     switch (machine->state) {
       case MachineState::booting:
@@ -257,15 +254,24 @@
   }
 }
 
+// Whether the machine has been unreachable for so long that it is to be returned. The mass outage
+// timeout holds however many there are, and whether or not they could be sent a higher token.
+bool MachineMonitor::unreachable_timeout_has_passed(const Machine& machine, bool many_unreachable,
+                                                    double now) const {
+  if (!machine.is_unreachable()) return false;
+  if (now - machine.replies.unreachable_since() > mass_outage_timeout()) return true;
+  if (many_unreachable) return false;
+  const auto since = machine.replies.unacknowledged_since();
+  return holds_cancelled_tasks(machine) || (since && now - *since > kUnreachableTimeoutS);
+}
+
 // Terminates the machine if it does not receive replies, or if it holds tasks of a job whose
 // cancellation timeout has passed. Returns whether it did.
 bool MachineMonitor::terminate_if_uncontrollable(Machine& machine, bool many_unreachable,
                                                  double now) {
   if (machine.state == MachineState::terminating || machine.state == MachineState::terminated)
     return false;
-  if (machine.unacknowledged_since >= 0 && !many_unreachable &&
-      (now - machine.unacknowledged_since > kUnreachableTimeoutS ||
-       holds_cancelled_tasks(machine))) {
+  if (unreachable_timeout_has_passed(machine, many_unreachable, now)) {
     MachineTable::terminate(machine, "does not receive the replies to its heartbeats");
     return true;
   }
--- a/src/fleet/machine_monitor.h
+++ b/src/fleet/machine_monitor.h
@@ -72,6 +72,8 @@
   void update_mass_outage(double now);
   bool detects_mass_outage(double now) const;
   bool are_many_unreachable() const;
+  bool unreachable_timeout_has_passed(const Machine& machine, bool many_unreachable,
+                                      double now) const;
   bool terminate_if_uncontrollable(Machine& machine, bool many_unreachable, double now);
   void check_booting(Machine& machine, double now);
   void check_registered(Machine& machine, double now);
--- a/src/model/machine.h
+++ b/src/model/machine.h
@@ -12,8 +12,8 @@
 
 #include "model/states.h"
 #include "model/types.h"
-#include "workers/command_acknowledgement.h"
 #include "workers/command_fence.h"
+#include "workers/reply_tracker.h"
 
 namespace rookdyke {
 
@@ -57,12 +57,11 @@
   HeartbeatId last_older_token_id;  // the latest one, counted or not
 
   // Commands.
-  CommandAcknowledgement acknowledgement;  // of the commands in heartbeat replies
-  double unacknowledged_since = -1;        // unreachable since then; negative: reachable
-  bool direct_in_flight = false;           // a call with direct commands is in flight
-  CommandFence fence;                      // the fencing token of its commands
-  // Whether its worker does not receive the replies to its heartbeats, although heartbeats arrive.
-  bool is_unreachable() const { return acknowledgement.is_unreachable(); }
+  ReplyTracker replies;           // whether its worker receives the replies to its heartbeats
+  bool direct_in_flight = false;  // a call with direct commands is in flight
+  CommandFence fence;             // the fencing token of its commands
+  // Whether its worker seems not to receive replies, although heartbeats arrive.
+  bool is_unreachable() const { return replies.is_unreachable(); }
 
   // Tasks and images.
   Resources used;                                 // by attempts that have not ended
--- a/src/workers/direct_commands.cpp
+++ b/src/workers/direct_commands.cpp
@@ -125,7 +125,7 @@
     if (heartbeat.epoch != call.epoch) announcer_.announce_again(machine, now);
     return false;
   }
-  const bool needs_round = heartbeats_.on_heartbeat(heartbeat, now).needs_round;
+  const bool needs_round = heartbeats_.on_call_response(heartbeat, now);
   // The worker may still send its heartbeats to another controller. Until it is expected to send
   // them to this one, it must not count as missing heartbeats.
   machine.last_heartbeat = std::max(machine.last_heartbeat, announcer_.heartbeats_expected_by());
--- a/src/workers/heartbeat_handler.cpp
+++ b/src/workers/heartbeat_handler.cpp
@@ -11,9 +11,6 @@
 
 // Heartbeats with an older token that arrive within this many heartbeat intervals count once.
 constexpr double kOlderTokenSpacingIntervals = 0.5;
-// In worker leases. A worker that loses its lease this soon after its last heartbeat did not
-// receive the replies to its heartbeats.
-constexpr double kRecentHeartbeatLeases = 0.6;
 
 }  // namespace
 
@@ -25,35 +22,55 @@
 
 HeartbeatOutcome HeartbeatHandler::on_heartbeat(const Heartbeat& heartbeat, double now) {
   HeartbeatOutcome outcome;
+  Machine* machine = admit(heartbeat, outcome.reply, now);
+  if (!machine) return outcome;
+  outcome = apply(*machine, heartbeat, now);
+  raise_token_if_unreachable(*machine);
+  outcome.reply.fencing_token = machine->fence.token(claim_.fencing_token());
+  machine->replies.on_reply(outcome.reply.commands, outcome.reply.fencing_token, now);
+  return outcome;
+}
+
+bool HeartbeatHandler::on_call_response(const Heartbeat& heartbeat, double now) {
+  HeartbeatReply unsent;
+  Machine* machine = admit(heartbeat, unsent, now);
+  return machine && apply(*machine, heartbeat, now).needs_round;
+}
+
+// Returns the machine of a heartbeat that is to be applied. Returns null if it is not, with the
+// reply to it.
+Machine* HeartbeatHandler::admit(const Heartbeat& heartbeat, HeartbeatReply& reply, double now) {
   if (detect_newer_leader(heartbeat)) {
-    outcome.reply.verdict = HeartbeatReply::Verdict::deposed;
-    return outcome;
+    reply.verdict = HeartbeatReply::Verdict::deposed;
+    return nullptr;
   }
   Machine& machine = machines_.get_or_add(heartbeat.machine, now);
   machine.fence.raise_to(heartbeat.fencing_token);
-  outcome.reply.fencing_token = machine.fence.token(claim_.fencing_token());
+  reply.fencing_token = machine.fence.token(claim_.fencing_token());
   // A delayed heartbeat of a machine that has been returned.
-  if (machine.state == MachineState::terminated) return outcome;
+  if (machine.state == MachineState::terminated) return nullptr;
   if (machine.registered && !heartbeat.id().is_later_than(machine.last_heartbeat_id())) {
     // Delayed in the network: its task list is out of date, and the worker no longer waits for the
     // reply.
-    outcome.reply.verdict = HeartbeatReply::Verdict::outdated;
-    return outcome;
+    reply.verdict = HeartbeatReply::Verdict::outdated;
+    return nullptr;
   }
   if (heartbeat.fencing_token < claim_.fencing_token()) {
     record_older_token(machine, heartbeat, now);
-    return outcome;
+    return nullptr;
   }
-  detect_lost_replies(machine, heartbeat, now);
+  return &machine;
+}
+
+// Applies an up-to-date heartbeat. The reply that it returns has no token yet.
+HeartbeatOutcome HeartbeatHandler::apply(Machine& machine, const Heartbeat& heartbeat, double now) {
+  HeartbeatOutcome outcome;
   end_attempts_of_older_epochs(machine, heartbeat, now);
   const size_t tasks_before = machine.tasks.size();
   const bool was_registered = machine.registered;
   record_heartbeat(machine, heartbeat, now);
-  machine.acknowledgement.on_heartbeat(heartbeat, machine.name);
   if (heartbeat.notice_s >= 0) reclaim_notices_.on_reclaim_notice(machine, heartbeat.notice_s, now);
   outcome.reply.commands = reconciler_.reconcile(machine, heartbeat, now);
-  outcome.reply.fencing_token = machine.fence.token(claim_.fencing_token());
-  machine.acknowledgement.on_commands_sent(outcome.reply.commands);
   outcome.needs_round = !was_registered || machine.tasks.size() < tasks_before;
   return outcome;
 }
@@ -75,13 +92,17 @@
   if (machine.addr.empty()) machine.addr = heartbeat.addr;
 }
 
-// A worker that lost its lease (its epoch rose) although this controller replied to its heartbeats
-// does not receive the replies.
-void HeartbeatHandler::detect_lost_replies(Machine& machine, const Heartbeat& heartbeat,
-                                           double now) const {
-  if (!machine.registered || heartbeat.epoch <= machine.epoch) return;
-  if (now - machine.last_heartbeat < kRecentHeartbeatLeases * settings_.lease_s)
-    machine.acknowledgement.mark_unreachable();
+// Makes the reply to an unreachable machine carry a token that its worker has not been sent yet, so
+// that the next heartbeat shows whether the reply arrived. If the ledger has not changed since the
+// last token, the machine's row is written once more, which yields a higher one.
+void HeartbeatHandler::raise_token_if_unreachable(Machine& machine) {
+  const auto needs_token = [&] {
+    return machine.replies.needs_token_above(machine.fence.token(claim_.fencing_token()));
+  };
+  // A raised token would make the worker refuse a call in flight.
+  if (!needs_token() || machine.direct_in_flight) return;
+  machine.fence.raise_to(claim_.confirmed_revision());
+  if (needs_token()) machines_.mark_changed(machine);
 }
 
 // Invariant 3: a worker whose epoch has risen has killed all attempts of earlier epochs.
@@ -100,10 +121,12 @@
   if (!machine.registered) register_machine(machine, heartbeat, now);
   machine.was_up = true;
   machine.last_heartbeat = now;
+  const uint64_t sent_token = machine.fence.token(claim_.fencing_token());
   if (machine.epoch != heartbeat.epoch) {
     machine.fence.on_new_epoch();
-    machine.acknowledgement.on_new_epoch();
+    machine.replies.on_new_epoch(heartbeat, sent_token, settings_.lease_s, now);
   }
+  machine.replies.on_heartbeat(heartbeat, sent_token, settings_.lease_s, now);
   machine.epoch = heartbeat.epoch;
   machine.seq = heartbeat.seq;
   if (machine.state == MachineState::booting)
--- a/src/workers/heartbeat_handler.h
+++ b/src/workers/heartbeat_handler.h
@@ -1,8 +1,8 @@
 #pragma once
 // Handles the workers' heartbeats: discards those that are outdated, duplicates, or sent before the
-// worker had seen this leader's fencing token; registers machines; tracks their epochs; and gets
-// the commands for the reply from TaskReconciler. Called by the scheduler, and by DirectCommands
-// for the responses to its token announcements.
+// worker had seen this leader's fencing token; registers machines; tracks their epochs and whether
+// they receive the replies; and gets the commands for the reply from TaskReconciler. Called by the
+// scheduler, and by DirectCommands for the responses to its token announcements.
 //
 // Guarantees invariant 2 (a worker that has seen a newer token ends this controller's leadership),
 // invariant 3 (a higher epoch proves that attempts of earlier epochs no longer run on the machine)
@@ -45,13 +45,18 @@
         reconciler_(reconciler) {}
 
   HeartbeatOutcome on_heartbeat(const Heartbeat& heartbeat, double now);
+  // Handles the heartbeat in the response to a direct call, which gets no reply. Returns whether a
+  // scheduling round is needed.
+  bool on_call_response(const Heartbeat& heartbeat, double now);
   // Whether the worker has seen the fencing token of a newer leader. If so, marks the leadership of
   // this controller as lost.
   bool detect_newer_leader(const Heartbeat& heartbeat);
 
  private:
   void record_older_token(Machine& machine, const Heartbeat& heartbeat, double now) const;
-  void detect_lost_replies(Machine& machine, const Heartbeat& heartbeat, double now) const;
+  Machine* admit(const Heartbeat& heartbeat, HeartbeatReply& reply, double now);
+  HeartbeatOutcome apply(Machine& machine, const Heartbeat& heartbeat, double now);
+  void raise_token_if_unreachable(Machine& machine);
   void end_attempts_of_older_epochs(const Machine& machine, const Heartbeat& heartbeat, double now);
   void record_heartbeat(Machine& machine, const Heartbeat& heartbeat, double now);
   void register_machine(Machine& machine, const Heartbeat& heartbeat, double now);
