--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -65,6 +65,8 @@
 //                                 as cancelled; some cancel at once
 //   at T deafen MACHINES [in ZONE] for S    their heartbeats arrive; no answer or command reaches
 //   them at T hang|sick|take MACHINES [for S] [notice S]    MACHINES: a count, or all, or busy
+//   at T restart MACHINES for S [forgetful]    their workers lose all tasks and, if forgetful, the
+//                                 highest token that they have seen, and are back in a new epoch
 //   troubles_over T               from then on every accepted job is answered for
 //   until T
 //
--- a/tests/scenario/actions.cpp
+++ b/tests/scenario/actions.cpp
@@ -255,6 +255,13 @@
   for_machines(line, world, [s = duration(line)](Worker& worker) { worker.hang(s); });
 }
 
+void restart(const Line& line, World& world) {
+  const bool forgets_token = line.has("forgetful");
+  for_machines(line, world, [s = duration(line), forgets_token](Worker& worker) {
+    worker.restart(s, forgets_token);
+  });
+}
+
 void sicken(const Line& line, World& world) {
   for_machines(line, world, [&world, s = duration(line)](Worker& worker) {
     worker.sick = true;
@@ -303,6 +310,7 @@
       {"deafen", deafen},
       {"mute", mute},
       {"hang", hang},
+      {"restart", restart},
       {"sick", sicken},
       {"take", take},
   };
--- a/tests/simulation/worker.cpp
+++ b/tests/simulation/worker.cpp
@@ -49,6 +49,12 @@
   });
 }
 
+void Worker::restart(double s, bool forgets_token) {
+  end_epoch();
+  if (forgets_token) fencing_token_ = 0;
+  hang(s);
+}
+
 void Worker::vanish() {
   if (terminated) return;
   leave_all();
--- a/tests/simulation/worker.h
+++ b/tests/simulation/worker.h
@@ -57,6 +57,9 @@
   void boot();
   // The process is paused for `s` seconds.
   void hang(double s);
+  // The worker ends with all its tasks and is back after `s` seconds, in a new epoch. It may have
+  // forgotten the highest token that it has seen.
+  void restart(double s, bool forgets_token);
   // The machine ends with all its tasks, without any message.
   void vanish();
   // The cloud takes the machine back in `s` seconds, and says so.
