A job avoids a machine on which it failed for a while, not for ever

Cause: Job::failed_machines was emptied only by a success of the job, or passed over after failures on three machines; a job that can start nowhere else has neither. Like the mark of unreachable machines, a guess that one kind of event undoes.

A machine is avoided for 30 s, and for 60 s after a retry that fails; tasks that fail together count once. Errors of the job and of the machine count as before, so a faulty job still backs off and a machine on which two jobs fail is cordoned.

--- a/src/model/job.h
+++ b/src/model/job.h
@@ -50,6 +50,12 @@
   double next_reservation_search_at = 0;  // earliest next search for machines to reserve
 };
 
+// Failures of a job's tasks on one machine. Those of tasks that fail together count once.
+struct MachineFailures {
+  uint32_t count = 0;
+  double avoided_until = 0;  // the job is not placed there before this time
+};
+
 struct Job {
   Index id = kNone;
   JobSpec spec;
@@ -79,11 +85,12 @@
   std::vector<double> start_objectives_s;  // start-time objectives of its class, shortest first
   double replica_missing_since = -1;  // when a replica of this service last ended; negative: never
   JobPlacement placement;
-  double cancelled_at = -1;         // on the steady clock; negative: not cancelled
-  double back_off_until = 0;        // no starts before this time, after errors of its tasks
-  double retry_at = 0;              // earliest next write of its final state, after a failed one
-  std::set<Index> failed_machines;  // machines on which its tasks failed since its last success
-  uint32_t errors = 0;              // errors, and short runs of replicas, since its last success
+  double cancelled_at = -1;   // on the steady clock; negative: not cancelled
+  double back_off_until = 0;  // no starts before this time, after errors of its tasks
+  double retry_at = 0;        // earliest next write of its final state, after a failed one
+  // By machine index: the machines on which its tasks failed since its last success.
+  std::map<Index, MachineFailures> failed_machines;
+  uint32_t errors = 0;  // errors, and short runs of replicas, since its last success
 
   uint32_t tasks() const { return spec.tasks; }
   PageKind page_kind() const {
--- a/src/placement/eligibility.cpp
+++ b/src/placement/eligibility.cpp
@@ -22,7 +22,8 @@
   if (machine.reserved_for != kNone && machine.reserved_for != job.id &&
       now < machine.reserved_until)
     return false;
-  return !job.failed_machines.count(machine.index) ||
+  const auto failures = job.failed_machines.find(machine.index);
+  return failures == job.failed_machines.end() || now >= failures->second.avoided_until ||
          job.failed_machines.size() >= kMaxAvoidedMachines;
 }
 
--- a/src/workers/fault_detector.h
+++ b/src/workers/fault_detector.h
@@ -1,7 +1,7 @@
 #pragma once
 // Distinguishes faulty machines from faulty jobs by the tasks that fail: a machine on which tasks
 // of several jobs fail in a row is cordoned; a job that fails on several machines gets an
-// exponential back-off.
+// exponential back-off. A job avoids a machine on which it failed, for a while.
 
 #include "model/job.h"
 #include "model/machine.h"
@@ -26,6 +26,7 @@
   static bool is_faulty(const Job& job);
 
  private:
+  static void avoid(const Machine& machine, Job& job, double now);
   void record_faulty_job(Job& job, double now);
 
   MachineTable& machines_;
--- a/tests/scheduler/faulty_jobs_test.cpp
+++ b/tests/scheduler/faulty_jobs_test.cpp
@@ -68,5 +68,29 @@
   EXPECT_EQ(completions["wk-000002"], 6u);
 }
 
+// The machine on which a job failed may be well again, and nothing else may ever run there that
+// would show it. Avoided for good, it would stay idle beside the waiting job.
+TEST_F(SmallDeployment, AJobReturnsToTheOnlyMachineOnWhichItFailed) {
+  add_machine(1);
+  submit("wk-000001", 1, 4, -2);
+  run_until(20);
+  EXPECT_EQ(starts["wk-000001"], 1u);  // a machine that is still faulty must not use up retries
+  run_until(45);
+  EXPECT_EQ(starts["wk-000001"], 2u);
+  run_until(80);
+  EXPECT_EQ(starts["wk-000001"], 2u);  // it failed again and is avoided for longer
+  repair("wk-000001", 2);
+  run_until(110);
+  EXPECT_EQ(completions["wk-000001"], 1u);
+}
+
+// Tasks that fail on a machine together show no more than one that fails.
+TEST_F(SmallDeployment, TasksThatFailTogetherCountOnceAgainstTheirMachine) {
+  add_machine(1);
+  submit("wk-000001", 4, 1, -2);
+  run_until(45);
+  EXPECT_EQ(starts["wk-000001"], 8u);
+}
+
 }  // namespace
 }  // namespace rookdyke
--- a/tests/scheduler/small_deployment_fixture.h
+++ b/tests/scheduler/small_deployment_fixture.h
@@ -49,6 +49,8 @@
     rows_[id] = job;
     scheduler.on_job_row(job, id, now);
   }
+  // From now on, tasks of the job that start succeed after `run_s` seconds.
+  void repair(const std::string& id, double run_s) { run_s_.at(id) = run_s; }
   void cancel(const std::string& id) {
     CachedJob& job = rows_.at(id);
     job.version = ++revision_;
