--- a/src/model/machine.h
+++ b/src/model/machine.h
@@ -58,17 +58,17 @@
 
   // Commands.
   ReplyTracker replies;           // whether its worker receives the replies to its heartbeats
-  bool direct_in_flight = false;  // a call with direct commands is in flight
   CommandFence fence;             // the fencing token of its commands
+  bool direct_in_flight = false;  // a call with direct commands is in flight
   // Whether its worker seems not to receive replies, although heartbeats arrive.
   bool is_unreachable() const { return replies.is_unreachable(); }
 
   // Tasks and images.
+  // Its worker lists attempts that the leader does not know. It accepts no new tasks meanwhile.
+  bool has_unknown_tasks = false;
   Resources used;                                 // by attempts that have not ended
   std::vector<std::pair<Index, uint32_t>> tasks;  // (job, task) of attempts that have not ended
   std::map<Index, CachedImage> images;            // cached images, by image index
-  // Its worker lists attempts that the leader does not know. It accepts no new tasks meanwhile.
-  bool has_unknown_tasks = false;
 
   // Faults and reservations.
   std::set<Index> failed_jobs;  // jobs that failed here since a task last succeeded here
--- a/src/workers/reply_tracker.cpp
+++ b/src/workers/reply_tracker.cpp
@@ -41,10 +41,10 @@
   unacknowledged_.clear();
   if (doubt_) {
     doubt_->observed_from = now;
-  } else if (last_reply_at_ && now - *last_reply_at_ < kRecentReplyLeases * lease_s) {
+  } else if (last_reply_at_ >= 0 && now - last_reply_at_ < kRecentReplyLeases * lease_s) {
     spdlog::info("machine {}: lost its lease {:.1f} s after a reply, marked unreachable",
-                 heartbeat.machine, now - *last_reply_at_);
-    doubt_ = Doubt{now, sent_token, std::nullopt, now};
+                 heartbeat.machine, now - last_reply_at_);
+    doubt_ = std::make_unique<Doubt>(now, sent_token);
   }
 }
 
@@ -65,7 +65,7 @@
   if (!doubt_) {
     spdlog::info("machine {}: worker does not execute the commands of replies, marked unreachable",
                  heartbeat.machine);
-    doubt_ = Doubt{now, sent_token, std::nullopt, now};
+    doubt_ = std::make_unique<Doubt>(now, sent_token);
   }
   if (!doubt_->unacknowledged_since) doubt_->unacknowledged_since = now;
 }
--- a/src/workers/reply_tracker.h
+++ b/src/workers/reply_tracker.h
@@ -15,6 +15,7 @@
 // Updated by HeartbeatHandler. All times are seconds on the leader's steady clock.
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -34,7 +35,7 @@
   // This process did not run for `stall_s` seconds, so heartbeats may be that old.
   void on_process_stall(double stall_s, double now);
 
-  bool is_unreachable() const { return doubt_.has_value(); }
+  bool is_unreachable() const { return doubt_ != nullptr; }
   // When the machine became unreachable. Requires is_unreachable().
   double unreachable_since() const { return doubt_->since; }
   // Since when there have been replies that the worker, had it received them, would have
@@ -46,12 +47,14 @@
  private:
   enum class Acknowledgement : uint8_t { not_expected, given, missing };
 
-  // Why the machine is unreachable is not known for certain.
+  // What is known of a machine that is unreachable.
   struct Doubt {
-    double since = 0;
-    uint64_t sent_token = 0;  // the highest that the worker had been sent by then
+    Doubt(double now, uint64_t token) : since(now), sent_token(token), observed_from(now) {}
+
+    double since;
+    uint64_t sent_token;   // the highest that the worker had been sent by then
+    double observed_from;  // an epoch that lasts a lease from here on has had a reply since
     std::optional<double> unacknowledged_since;
-    double observed_from = 0;  // an epoch that lasts a lease from here on has had a reply since
   };
 
   Acknowledgement take_acknowledgement(const Heartbeat& heartbeat);
@@ -59,8 +62,8 @@
 
   std::vector<WorkerCommand> unacknowledged_;
   int heartbeats_without_acknowledgement_ = 0;  // in a row
-  std::optional<double> last_reply_at_;
-  std::optional<Doubt> doubt_;
+  double last_reply_at_ = -1;                   // negative: none yet
+  std::unique_ptr<Doubt> doubt_;                // null: reachable, as almost all machines are
 };
 
 }  // namespace rookdyke
