Tasks in a zone that a new leader doesn't know count against every start

Cause, by a trace with log lines at the takeover and at each proposal: a machine gets work as soon as it is up, but its zone is stored only with the rented list, every 4 s. The successor restored the attempts without zones, and an attempt in an unknown zone counted for none: it placed the other replicas 2.3 s after the takeover, 0.4 s before the cloud's list named the zone.

An attempt in an unknown zone now counts for every zone, as does a task that an unreadable page may hold; a machine whose zone is unknown takes no tasks with zone constraints. So that nothing waits for long, pages hold type, zone and kind of the machines of their attempts that the rented list does not durably contain yet (field "m", which older versions ignore; no further write). Any heartbeat names the zone, also one with an older token. A silent machine that no list names is returned after two heartbeat intervals, like registered ones, which ends the wait for it.

Related faults of the rented list, found on the way: a machine of which a leader knew nothing but its attempts was never added to the list; machines of a type that is no longer offered lost their zone; with more than ten rows, a takeover could take machines off the list for a while.

--- a/src/fleet/capacity.cpp
+++ b/src/fleet/capacity.cpp
@@ -4,18 +4,18 @@
 
 void Capacity::add(const Machine& machine) {
   ++total;
+  if (!machine.spot) ++on_demand;
+  if (machine.zone == kNone) return;
   ++by_zone[machine.zone];
-  if (machine.spot) return;
-  ++on_demand;
-  ++on_demand_by_zone[machine.zone];
+  if (!machine.spot) ++on_demand_by_zone[machine.zone];
 }
 
 void Capacity::remove(const Machine& machine) {
   --total;
+  if (!machine.spot) --on_demand;
+  if (machine.zone == kNone) return;
   --by_zone[machine.zone];
-  if (machine.spot) return;
-  --on_demand;
-  --on_demand_by_zone[machine.zone];
+  if (!machine.spot) --on_demand_by_zone[machine.zone];
 }
 
 Capacity count_capacity(const MachineTable& machines, const MachineMonitor& monitor, Index type,
--- a/src/fleet/cloud_requests.cpp
+++ b/src/fleet/cloud_requests.cpp
@@ -105,11 +105,10 @@
   for (const std::string& name : names) {
     Machine& machine = machines_.get_or_add(name, now);
     if (machine.state != MachineState::booting || machine.registered) continue;
-    machine.type = catalog_.type_names.find(request.type);
-    machine.zone = catalog_.zones.intern(request.zone);
-    machine.spot = request.spot;
+    machines_.set_attributes(machine,
+                             {catalog_.type_names.find(request.type),
+                              catalog_.zones.intern_unless_empty(request.zone), request.spot});
     machine.rented_at = now;
-    machines_.mark_changed(machine);
   }
 }
 
@@ -166,12 +165,10 @@
 void CloudRequests::update_from_list(Machine& machine, const ListedMachine& listed, double now) {
   machine.listed = true;
   machine.unlisted_at = -1;
-  if (machine.type == kNone) {
-    machine.type = catalog_.type_names.find(listed.type);
-    machine.zone = catalog_.zones.intern(listed.zone);
-    machine.spot = listed.spot;
-    machines_.mark_changed(machine);
-  }
+  if (machine.type == kNone || machine.zone == kNone)
+    machines_.set_attributes(machine,
+                             {catalog_.type_names.find(listed.type),
+                              catalog_.zones.intern_unless_empty(listed.zone), listed.spot});
   if (machine.addr.empty()) machine.addr = listed.addr;
   if (!machine.registered) machine.rented_at = std::min(machine.rented_at, now - listed.age_s);
   if (listed.state == ListedMachine::State::running && !machine.registered && !machine.was_up) {
--- a/src/fleet/demand_model.cpp
+++ b/src/fleet/demand_model.cpp
@@ -139,7 +139,6 @@
 // after it.
 void DemandModel::record_largest_in_zone(const Job& job, Index type, Index zone,
                                          const Resources& demand) {
-  if (zone == kNone) return;  // the zone of a predecessor's machine is unknown until it is listed
   const double machines = machines_needed(type, demand);
   ZoneDemand& in_zone = by_type_[type].by_zone[zone];
   in_zone.largest_job = std::max(in_zone.largest_job, machines);
@@ -151,9 +150,14 @@
 // the zone with the most machines: a gang with all its tasks, other jobs with one task.
 void DemandModel::add_single_zone_demand(const Job& job, Index type, const Resources& demand,
                                          const MachineCounts& machines) {
-  for (const auto& [task, attempt] : job.attempts)
-    if (attempt.state != AttemptState::ended)
-      return record_largest_in_zone(job, type, machines_[attempt.machine].zone, demand.scaled(1));
+  bool has_attempts = false;
+  for (const auto& [task, attempt] : job.attempts) {
+    if (attempt.state == AttemptState::ended) continue;
+    has_attempts = true;
+    const Index zone = machines_[attempt.machine].zone;
+    if (zone != kNone) return record_largest_in_zone(job, type, zone, demand);
+  }
+  if (has_attempts) return;  // all on machines of a predecessor whose zone is not known yet
   const double share = job.is_gang() ? 1 : 1.0 / job.tasks();
   record_largest_in_zone(job, type, largest_zone(type, machines), demand.scaled(share));
 }
--- a/src/fleet/machine_monitor.cpp
+++ b/src/fleet/machine_monitor.cpp
@@ -65,6 +65,8 @@
 // not exist.
 constexpr double kUnlistedMarginS = 5;
 
+constexpr const char* kGoneReason = "missed heartbeats and not in the cloud's machine list";
+
 }  // namespace
 
 // ---------------------------------------------------------------- timeouts
@@ -282,6 +284,12 @@
   return false;
 }
 
+// Whether a machine that has been up no longer exists: the cloud's list lacks it, and it is silent.
+bool MachineMonitor::is_gone(const Machine& machine, double now) const {
+  return machine.unlisted_at >= 0 &&
+         now - machine.last_heartbeat > kUnlistedTimeoutIntervals * settings_.heartbeat_interval_s;
+}
+
 void MachineMonitor::check_booting(Machine& machine, double now) {
   const double age = now - machine.rented_at;
   // Machines that have been up may have tasks. Unless tasks of cancelled jobs are among them, only
@@ -293,6 +301,8 @@
   } else if (machine.was_up) {
     if (now - machine.last_heartbeat > registration_timeout(machine))
       MachineTable::terminate(machine, "no heartbeat within the registration timeout");
+    else if (is_gone(machine, now))
+      MachineTable::terminate(machine, kGoneReason);
   } else if (machine.unlisted_at >= 0 && age > 2 * settings_.list_lag_s + kUnlistedMarginS) {
     MachineTable::terminate(machine, "no heartbeat yet and not in the cloud's machine list");
   } else if (age > boot_tracker_.statistics_of(machine).boot_timeout_s()) {
@@ -311,8 +321,8 @@
     // Missed heartbeats do not prove that tasks have stopped; the cloud's response to the return
     // does (invariant 3).
     MachineTable::terminate(machine, "heartbeat timeout");
-  } else if (machine.unlisted_at >= 0 && heartbeat_age > kUnlistedTimeoutIntervals * interval) {
-    MachineTable::terminate(machine, "missed heartbeats and not in the cloud's machine list");
+  } else if (is_gone(machine, now)) {
+    MachineTable::terminate(machine, kGoneReason);
   } else if (machine.state == MachineState::draining) {
     check_draining(machine, now);
   }
--- a/src/fleet/machine_monitor.h
+++ b/src/fleet/machine_monitor.h
@@ -75,6 +75,7 @@
   bool unreachable_timeout_has_passed(const Machine& machine, bool many_unreachable,
                                       double now) const;
   bool terminate_if_uncontrollable(Machine& machine, bool many_unreachable, double now);
+  bool is_gone(const Machine& machine, double now) const;
   void check_booting(Machine& machine, double now);
   void check_registered(Machine& machine, double now);
   void check_draining(Machine& machine, double now);
--- a/src/ledger/ledger_cache.cpp
+++ b/src/ledger/ledger_cache.cpp
@@ -40,6 +40,7 @@
     return;
   }
   remove_chunks(n, page);
+  page.machines = std::move(decoded->machines);
   for (ledger::PageEntry& entry : decoded->entries) {
     ChunkKey key{entry.n, std::nullopt};
     if (entry.range) key.range_first = entry.range->first;
--- a/src/ledger/ledger_cache.h
+++ b/src/ledger/ledger_cache.h
@@ -45,6 +45,7 @@
   uint64_t version = 0;
   bool readable = true;
   std::vector<CachedChunkRef> chunks;
+  std::vector<ledger::MachineGroup> machines;
 };
 
 // A row of the rented list, not yet decoded.
--- a/src/ledger/rented_list.cpp
+++ b/src/ledger/rented_list.cpp
@@ -3,7 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <tuple>
+#include <iterator>
 
 namespace rookdyke {
 
@@ -22,24 +22,12 @@
 constexpr size_t kReservedMachineBytes = 24;  // bytes of a row reserved for each machine
 constexpr size_t kMaxRowsPerTransaction = 4;  // a transaction is limited to 64 KiB
 
-bool is_valid_group(const json& group) {
-  return group.is_array() && group.size() >= 4 && group[0].is_string() && group[1].is_string() &&
-         group[2].is_boolean() && group[3].is_array();
-}
-
-// Appends the machines of one group: [type, zone, spot, [names]].
-void decode_group(const json& group, const NameTable& types, NameTable& zones,
-                  std::vector<RentedMachine>& machines) {
-  if (!is_valid_group(group)) return;
-  for (const json& name : group[3]) {
-    if (!name.is_string() || name.get_ref<const std::string&>().empty()) continue;
-    RentedMachine machine;
-    machine.name = name.get<std::string>();
-    machine.type = types.find(group[0].get<std::string>());
-    machine.zone = zones.intern(group[1].get<std::string>());
-    machine.spot = group[2].get<bool>();
-    machines.push_back(std::move(machine));
-  }
+// The rows in the order of their numbers. Rows whose key has no number are left out.
+std::map<uint32_t, const CachedRentedListRow*> sort_by_number(const RentedList::Rows& rows) {
+  std::map<uint32_t, const CachedRentedListRow*> sorted;
+  for (const auto& [key, row] : rows)
+    if (const auto number = ledger::rented_list_row_number(key)) sorted[*number] = &row;
+  return sorted;
 }
 
 }  // namespace
@@ -48,26 +36,47 @@
     : machines_per_row_(static_cast<uint32_t>(
           std::max<size_t>(1, ledger::page_capacity(value_bytes) / kReservedMachineBytes))) {}
 
+// Rows are read in the order of their numbers, and the caller gives the machines indices in the
+// order of the result. A machine's new row is therefore never behind its old one, and is written
+// no later: rows are written in ascending order, so that no write takes a machine off the list.
 std::vector<RentedMachine> RentedList::load(const Rows& rows, const NameTable& types,
                                             NameTable& zones) {
   std::vector<RentedMachine> machines;
-  for (const auto& [key, row] : rows) {
-    const auto number = ledger::rented_list_row_number(key);
-    if (!number) continue;
-    const json& value = row.value;
-    row_versions_[key] = row.version;
+  for (const auto& [number, row] : sort_by_number(rows)) {
+    const json& value = row->value;
+    row_versions_[ledger::rented_list_key(number)] = row->version;
     if (!value.is_object() || !value.contains("machines") || !value["machines"].is_array()) {
-      spdlog::error("ledger: row {} cannot be decoded", key);
-      unreadable_rows_.insert(*number);
+      spdlog::error("ledger: row {} cannot be decoded", ledger::rented_list_key(number));
+      unreadable_rows_.insert(number);
       continue;
     }
-    changed_rows_.insert(*number);
-    for (const json& group : value["machines"]) decode_group(group, types, zones, machines);
+    changed_rows_.insert(number);
+    for (const ledger::MachineGroup& group : ledger::decode_machine_groups(value["machines"]))
+      for (RentedMachine& machine : machines_of_group(group, types, zones))
+        machines.push_back(std::move(machine));
   }
   return machines;
 }
 
-void RentedList::mark_changed(Index machine) { changed_rows_.insert(machine / machines_per_row_); }
+// Machines fill the rows that can be decoded, machines_per_row_ each, in the order of their
+// indices.
+uint32_t RentedList::row_of(Index machine) const {
+  uint32_t row = machine / machines_per_row_;
+  for (const uint32_t unreadable : unreadable_rows_) row += unreadable <= row;
+  return row;
+}
+
+Index RentedList::first_machine_of(uint32_t row) const {
+  const auto skipped = std::distance(unreadable_rows_.begin(), unreadable_rows_.lower_bound(row));
+  return (row - static_cast<uint32_t>(skipped)) * machines_per_row_;
+}
+
+void RentedList::mark_changed(Index machine) { changed_rows_.insert(row_of(machine)); }
+
+void RentedList::mark_durable(Index machine) {
+  if (machine >= durable_.size()) durable_.resize(machine + 1);
+  durable_[machine] = true;
+}
 
 bool RentedList::can_write(double now) const {
   if (changed_rows_.empty() || in_flight_) return false;
@@ -79,17 +88,16 @@
 }
 
 json RentedList::encode_row(uint32_t row, const Lookup& machine, const NameTable& types,
-                            const NameTable& zones) const {
-  std::map<std::tuple<Index, Index, bool>, json> groups;  // names by type, zone and spot
-  const Index first = row * machines_per_row_;
-  for (Index i = first; i < first + machines_per_row_; ++i)
-    if (const auto m = machine(i)) groups[{m->type, m->zone, m->spot}].push_back(m->name);
-  json encoded = json::array();
-  for (auto& [key, names] : groups) {
-    const auto& [type, zone, spot] = key;
-    encoded.push_back(json::array({types.name(type), zones.name(zone), spot, std::move(names)}));
+                            const NameTable& zones) {
+  std::vector<RentedMachine> machines;
+  const Index first = first_machine_of(row);
+  for (Index i = first; i < first + machines_per_row_; ++i) {
+    auto listed = machine(i);
+    if (!listed) continue;
+    machines.push_back(std::move(*listed));
+    machines_in_flight_.push_back(i);
   }
-  return encoded;
+  return ledger::encode(group_machines(machines, types, zones));
 }
 
 void RentedList::write(double now, size_t transaction_rows, const Lookup& machine,
@@ -101,7 +109,6 @@
   while (!changed_rows_.empty() && transaction.changes.size() < max_changes) {
     const uint32_t row = *changed_rows_.begin();
     changed_rows_.erase(changed_rows_.begin());
-    if (unreadable_rows_.count(row)) continue;
     const std::string key = ledger::rented_list_key(row);
     const auto known = row_versions_.find(key);
     transaction.conditions.push_back({key, known == row_versions_.end() ? 0 : known->second});
@@ -113,6 +120,9 @@
 
 void RentedList::on_result(const ledger::Transaction& transaction, const ledger::Result& result) {
   in_flight_ = false;
+  if (result.outcome == ledger::Outcome::applied)
+    for (const Index machine : machines_in_flight_) mark_durable(machine);
+  machines_in_flight_.clear();
   for (const ledger::Change& change : transaction.changes) {
     if (result.outcome == ledger::Outcome::applied)
       row_versions_[change.key] = result.revision;
--- a/src/ledger/rented_list.h
+++ b/src/ledger/rented_list.h
@@ -13,18 +13,12 @@
 #include <vector>
 
 #include "ledger/ledger_cache.h"
+#include "ledger/machine_groups.h"
 #include "ledger/rows.h"
 #include "model/types.h"
 
 namespace rookdyke {
 
-// A machine on the list. `type` is kNone if the cloud no longer offers the machine's type.
-struct RentedMachine {
-  std::string name;
-  Index type = kNone, zone = kNone;
-  bool spot = false;
-};
-
 class RentedList {
  public:
   // The list's rows in the ledger, by key.
@@ -36,11 +30,17 @@
   explicit RentedList(size_t value_bytes);
 
   // Reads the list that a predecessor wrote. All its rows count as changed. Entries that cannot be
-  // decoded are skipped; new zones get an index.
+  // decoded are skipped; new zones get an index. The machines must be given indices in the order of
+  // the result, beginning with 0.
   std::vector<RentedMachine> load(const Rows& rows, const NameTable& types, NameTable& zones);
 
   // Marks the machine's row as changed.
   void mark_changed(Index machine);
+  // Whether the ledger contains the machine, as far as this leader knows: a predecessor listed it,
+  // or a write with it was applied. Not defined for machines that are no longer to be listed.
+  bool is_durable(Index machine) const { return machine < durable_.size() && durable_[machine]; }
+  // Records that a predecessor listed the machine.
+  void mark_durable(Index machine);
 
   // Whether a write may begin: there are changes, no write is in flight, and the minimum interval
   // since the last one has passed.
@@ -56,7 +56,9 @@
 
  private:
   nlohmann::json encode_row(uint32_t row, const Lookup& machine, const NameTable& types,
-                            const NameTable& zones) const;
+                            const NameTable& zones);
+  uint32_t row_of(Index machine) const;
+  Index first_machine_of(uint32_t row) const;
 
   uint32_t machines_per_row_;
   std::set<uint32_t> changed_rows_;
@@ -64,6 +66,8 @@
   std::map<std::string, uint64_t> row_versions_;
   std::optional<double> write_began_at_;  // of the last write
   bool in_flight_ = false;
+  std::vector<Index> machines_in_flight_;  // contained in the write in flight
+  std::vector<bool> durable_;              // by machine index
 };
 
 }  // namespace rookdyke
--- a/src/ledger/rows.cpp
+++ b/src/ledger/rows.cpp
@@ -69,6 +69,10 @@
 constexpr size_t kEntryOverheadBytes = 48;   // of a page's entry
 constexpr size_t kTypicalAttemptBytes = 32;  // of a live attempt; a done task takes at most 14
 
+// Of a group of machines: brackets, quotes, commas, "false"; and of each name: quotes, a comma.
+constexpr size_t kMachineGroupOverheadBytes = 20;
+constexpr size_t kMachineNameOverheadBytes = 3;
+
 size_t digits(uint64_t n) {
   size_t d = 1;
   while (n >= 10) n /= 10, ++d;
@@ -90,6 +94,11 @@
 size_t encoded_size(const LiveAttempt& l) {
   return 8 + digits(l.task) + digits(l.attempt) + l.machine.size() + digits(l.epoch);
 }
+size_t encoded_size(const MachineGroup& group) {
+  size_t n = kMachineGroupOverheadBytes + group.type.size() + group.zone.size();
+  for (const std::string& name : group.names) n += kMachineNameOverheadBytes + name.size();
+  return n;
+}
 size_t encoded_size(const std::string& job, const TaskSet& done) {
   size_t n = kEntryOverheadBytes + job.size();
   for (const auto& [a, b] : done.ranges()) n += digits(a) + digits(b) + 2;
@@ -253,7 +262,9 @@
     }
     entries.push_back(std::move(entry));
   }
-  return {{"e", std::move(entries)}, {"w", page.transaction_id}};
+  json out = {{"e", std::move(entries)}, {"w", page.transaction_id}};
+  if (!page.machines.empty()) out["m"] = encode(page.machines);
+  return out;
 }
 
 std::optional<PageRow> decode_page(const json& v) {
@@ -275,6 +286,7 @@
                               static_cast<uint32_t>(parse_integer(e.at(6), 1, kMaxTasks))};
       p.entries.push_back(std::move(out));
     }
+    if (v.contains("m")) p.machines = decode_machine_groups(v.at("m"));
     p.transaction_id = v.value("w", "");
     return p;
   } catch (const std::exception&) {
@@ -282,6 +294,39 @@
   }
 }
 
+namespace {
+
+bool is_valid_group(const json& group) {
+  return group.is_array() && group.size() >= 4 && group[0].is_string() && group[1].is_string() &&
+         group[2].is_boolean() && group[3].is_array();
+}
+
+// Reads a group: [type, zone, spot, [names]].
+MachineGroup decode_machine_group(const json& v) {
+  MachineGroup group{v[0].get<std::string>(), v[1].get<std::string>(), v[2].get<bool>(), {}};
+  for (const json& name : v[3])
+    if (name.is_string() && !name.get_ref<const std::string&>().empty())
+      group.names.push_back(name.get<std::string>());
+  return group;
+}
+
+}  // namespace
+
+json encode(const std::vector<MachineGroup>& groups) {
+  json out = json::array();
+  for (const MachineGroup& group : groups)
+    out.push_back(json::array({group.type, group.zone, group.spot, group.names}));
+  return out;
+}
+
+std::vector<MachineGroup> decode_machine_groups(const json& v) {
+  std::vector<MachineGroup> groups;
+  if (!v.is_array()) return groups;
+  for (const json& group : v)
+    if (is_valid_group(group)) groups.push_back(decode_machine_group(group));
+  return groups;
+}
+
 json encode_types(const std::vector<MachineType>& types) {
   json out = json::array();
   for (const MachineType& t : types)
--- a/src/ledger/rows.h
+++ b/src/ledger/rows.h
@@ -6,12 +6,13 @@
 //                    it cannot reach directly
 //   rd/types         machine types, so that all controllers reject the same jobs with 422
 //   rd/j/<job>       a job: its description until it is done; its final state is kept for ever
-//   rd/t/<n>         a page: chunks of tasks of several jobs. Chunk k of a job covers its tasks
-//                    [k*per, (k+1)*per), where `per` is JobRow::chunk_size. It states which of them
-//                    are done, the attempts that may be on a machine, and the highest attempt
-//                    number used. If two pages hold the same tasks, the one written last is valid:
-//                    a chunk is moved by writing it to another page.
-//   rd/f/<n>         names of rented machines (the rented list)
+//   rd/t/<n>         a page: chunks of tasks of several jobs, and the type, zone and kind of the
+//                    machines on which they run, unless the rented list has them. Chunk k of a job
+//                    covers its tasks [k*per, (k+1)*per), where `per` is JobRow::chunk_size. It
+//                    states which of them are done, the attempts that may be on a machine, and the
+//                    highest attempt number used. If two pages hold the same tasks, the one written
+//                    last is valid: a chunk is moved by writing it to another page.
+//   rd/f/<n>         rented machines with type, zone and kind (the rented list)
 //
 // Tasks are grouped into chunks because a job has up to 100,000 tasks and values are limited in
 // size. Chunks share pages because the state service limits changed rows, not bytes: a row for each
@@ -92,8 +93,18 @@
   // them: version 0.1 would read a part as the whole chunk.
   std::optional<TaskRange> range;
 };
+// Machines of the same type, zone and kind (spot or on-demand). An empty type or zone is unknown.
+struct MachineGroup {
+  std::string type, zone;
+  bool spot = false;
+  std::vector<std::string> names;
+};
+
 struct PageRow {
   std::vector<PageEntry> entries;
+  // Machines that the entries name and that the rented list did not contain when the page was
+  // written. Older versions ignore this field.
+  std::vector<MachineGroup> machines;
   std::string transaction_id;  // of the transaction that wrote the page
 };
 
@@ -121,6 +132,9 @@
 // Upper bound of the bytes that an entry takes in a page, without its attempts.
 size_t encoded_size(const std::string& job, const TaskSet& done);
 
+// Upper bound of the bytes that a group takes in a page.
+size_t encoded_size(const MachineGroup& group);
+
 json encode(const JobRow& row);
 json encode(const PageRow& page);
 // Whether a row's value was written by the given transaction.
@@ -135,6 +149,10 @@
 std::optional<JobRow> decode_job(const std::string& id, const json& v);
 std::optional<PageRow> decode_page(const json& v);
 
+json encode(const std::vector<MachineGroup>& groups);
+// Skips what is malformed. Returns no groups if the value is not an array.
+std::vector<MachineGroup> decode_machine_groups(const json& v);
+
 json encode_types(const std::vector<MachineType>& types);
 std::vector<MachineType> decode_types(const json& v);
 
--- a/src/ledger_writer/ledger_writer.cpp
+++ b/src/ledger_writer/ledger_writer.cpp
@@ -35,8 +35,9 @@
       claim_(claim),
       limits_(settings),
       page_content_(jobs, machines),
+      unlisted_machines_(catalog, machines, rented_list),
       page_splitter_(settings, limits_, page_content_, jobs, pages),
-      page_writer_(settings, limits_, page_content_, jobs, pages, lifecycle),
+      page_writer_(settings, limits_, page_content_, unlisted_machines_, jobs, pages, lifecycle),
       job_closer_(settings, jobs, lifecycle),
       rented_list_writer_(settings, catalog, machines, rented_list) {}
 
--- a/src/ledger_writer/ledger_writer.h
+++ b/src/ledger_writer/ledger_writer.h
@@ -27,6 +27,7 @@
 #include "ledger_writer/page_splitter.h"
 #include "ledger_writer/page_writer.h"
 #include "ledger_writer/rented_list_writer.h"
+#include "ledger_writer/unlisted_machines.h"
 #include "model/scheduler_messages.h"
 #include "model/settings.h"
 #include "scheduler/catalog.h"
@@ -47,6 +48,9 @@
   void load_rented_list(const LedgerCache& ledger, double now) {
     rented_list_writer_.load(ledger, now);
   }
+  // Loads the attributes of machines that hold attempts and were not on that list. The attempts
+  // must have been loaded.
+  void load_unlisted_machines(const LedgerCache& ledger) { unlisted_machines_.load(ledger); }
 
   // Returns the transaction to send now, if any; its result must be passed to on_result().
   // `max_changes` is the number of changes that the write rate permits now; it limits only the
@@ -91,6 +95,7 @@
   LeadershipClaim& claim_;
   LedgerLimits limits_;
   PageContent page_content_;
+  UnlistedMachines unlisted_machines_;
   PageSplitter page_splitter_;
   PageWriter page_writer_;
   JobCloser job_closer_;
--- a/src/ledger_writer/page_writer.cpp
+++ b/src/ledger_writer/page_writer.cpp
@@ -57,8 +57,10 @@
     Attempt* attempt;
   };
   ledger::PageRow page;
-  size_t size = 0;  // bytes of its entries
+  size_t size = 0;  // bytes of its entries and machines
   std::vector<Start> starts;
+  std::set<Index> placed_on;  // unlisted machines that hold attempts whose start is durable
+  std::set<Index> machines;   // unlisted machines whose attributes are included
   std::vector<TaskRef> started, ended;
   bool has_omitted_starts = false;  // some starts do not fit into this write
 
@@ -100,7 +102,9 @@
   draft.page.transaction_id = transaction.transaction_id;
   transaction.conditions.push_back({ledger::page_key(number), page.version});
   draft_entries(page, draft);
+  add_machines_of_placed_attempts(draft);
   add_starts(draft, transaction.conditions);
+  draft.page.machines = unlisted_machines_.groups(draft.machines);
   transaction.changes = {{ledger::page_key(number), false, ledger::encode(draft.page), 0}};
   page.in_flight = true;
   page.mark_clean();
@@ -147,9 +151,30 @@
     if (attempt.state == AttemptState::ended) draft.ended.push_back({job.id, attempt.task});
     if (attempt.state == AttemptState::proposed)
       draft.starts.push_back({draft.page.entries.size(), &job, &attempt});
+    else if (attempt.state != AttemptState::ended &&
+             unlisted_machines_.is_unlisted(attempt.machine))
+      draft.placed_on.insert(attempt.machine);
   }
 }
 
+// The size of the draft if it also held an attempt on the machine, without that attempt's bytes.
+size_t PageWriter::size_with_machine(const Draft& draft, Index machine) const {
+  if (draft.machines.count(machine) || !unlisted_machines_.is_unlisted(machine)) return draft.size;
+  return draft.size + unlisted_machines_.encoded_size(machine);
+}
+
+void PageWriter::add_machine(Draft& draft, Index machine) const {
+  draft.size = size_with_machine(draft, machine);
+  if (unlisted_machines_.is_unlisted(machine)) draft.machines.insert(machine);
+}
+
+// A page that a version before 0.2.0 filled may have no room for the attributes. A successor then
+// treats them as unknown until the rented list contains the machine.
+void PageWriter::add_machines_of_placed_attempts(Draft& draft) const {
+  for (const Index machine : draft.placed_on)
+    if (size_with_machine(draft, machine) <= limits_.page_capacity()) add_machine(draft, machine);
+}
+
 // Every start is conditional on the leader key and the version of its job's row (invariant 1). The
 // condition on the page's version ensures that at most one copy of the transaction is applied if it
 // is resent or delayed.
@@ -161,7 +186,9 @@
     if (job.state != JobState::open || job.is_stale()) continue;
     const ledger::LiveAttempt live = content_.live_attempt(*start.attempt);
     const bool needs_condition = !jobs_with_condition.count(job.id);
-    if (draft.size + ledger::encoded_size(live) > limits_.page_capacity() ||
+    const size_t size =
+        size_with_machine(draft, start.attempt->machine) + ledger::encoded_size(live);
+    if (size > limits_.page_capacity() ||
         (needs_condition && conditions.size() >= max_conditions)) {
       draft.has_omitted_starts = true;
       continue;
@@ -170,6 +197,7 @@
       jobs_with_condition.insert(job.id);
       conditions.push_back({ledger::job_key(job.spec.id), job.version});
     }
+    add_machine(draft, start.attempt->machine);
     draft.size += ledger::encoded_size(live);
     draft.page.entries[start.entry].chunk.live.push_back(live);
     draft.started.push_back({job.id, start.attempt->task});
--- a/src/ledger_writer/page_writer.h
+++ b/src/ledger_writer/page_writer.h
@@ -12,6 +12,7 @@
 #include "ledger_writer/ledger_limits.h"
 #include "ledger_writer/ledger_write.h"
 #include "ledger_writer/page_content.h"
+#include "ledger_writer/unlisted_machines.h"
 #include "model/settings.h"
 #include "scheduler/job_table.h"
 #include "scheduler/task_lifecycle.h"
@@ -22,10 +23,12 @@
  public:
   // All must outlive this object.
   PageWriter(const Settings& settings, const LedgerLimits& limits, const PageContent& content,
-             JobTable& jobs, PageTable& pages, TaskLifecycle& lifecycle)
+             const UnlistedMachines& unlisted_machines, JobTable& jobs, PageTable& pages,
+             TaskLifecycle& lifecycle)
       : settings_(settings),
         limits_(limits),
         content_(content),
+        unlisted_machines_(unlisted_machines),
         jobs_(jobs),
         pages_(pages),
         lifecycle_(lifecycle) {}
@@ -53,6 +56,9 @@
   void draft_entries(const Page& page, Draft& draft);
   ledger::PageEntry draft_entry(const Job& job, uint32_t first) const;
   void collect_attempts(Job& job, uint32_t first, Draft& draft);
+  size_t size_with_machine(const Draft& draft, Index machine) const;
+  void add_machine(Draft& draft, Index machine) const;
+  void add_machines_of_placed_attempts(Draft& draft) const;
   void add_starts(Draft& draft, std::vector<ledger::Condition>& conditions);
   void on_not_applied(Page& page, const std::vector<Index>& jobs, ledger::Outcome outcome,
                       double now);
@@ -63,6 +69,7 @@
   const Settings& settings_;
   const LedgerLimits& limits_;
   const PageContent& content_;
+  const UnlistedMachines& unlisted_machines_;
   JobTable& jobs_;
   PageTable& pages_;
   TaskLifecycle& lifecycle_;
--- a/src/ledger_writer/rented_list_writer.cpp
+++ b/src/ledger_writer/rented_list_writer.cpp
@@ -8,9 +8,8 @@
   for (const RentedMachine& rented :
        rented_list_.load(ledger.rented_list_rows(), catalog_.type_names, catalog_.zones)) {
     Machine& machine = machines_.get_or_add(rented.name, now);
-    machine.type = rented.type;
-    machine.zone = rented.zone;
-    machine.spot = rented.spot;
+    machines_.set_attributes(machine, rented.attributes);
+    if (machine.zone != kNone) rented_list_.mark_durable(machine.index);
   }
 }
 
@@ -18,8 +17,8 @@
 std::optional<RentedMachine> RentedListWriter::listed_machine(Index index) const {
   if (index >= machines_.size()) return std::nullopt;
   const Machine& machine = machines_[index];
-  if (machine.state == MachineState::terminated || machine.type == kNone) return std::nullopt;
-  return RentedMachine{machine.name, machine.type, machine.zone, machine.spot};
+  if (machine.state == MachineState::terminated || machine.zone == kNone) return std::nullopt;
+  return RentedMachine{machine.name, machine.attributes()};
 }
 
 LedgerWrite RentedListWriter::begin_write(ledger::Transaction transaction, double now) {
--- a/src/model/job.h
+++ b/src/model/job.h
@@ -70,6 +70,8 @@
   std::map<uint32_t, Attempt> attempts;  // at most one per task (rule ran_twice)
   ledger::TaskSet done;
   uint32_t done_count = 0;
+  // Tasks that a page which cannot be decoded may hold: they may be running on any machine.
+  uint32_t unreadable_tasks = 0;
   uint32_t proposed_count = 0;               // attempts in state `proposed`
   uint64_t highest_attempt = 0;              // highest attempt number used
   std::map<uint32_t, ChunkLocation> chunks;  // by first task; together they cover all tasks
--- a/src/model/machine.h
+++ b/src/model/machine.h
@@ -29,6 +29,7 @@
   std::string name, addr;  // addr: where its worker accepts direct commands; empty: unknown
   Index type = kNone, zone = kNone;
   bool spot = false;
+  MachineAttributes attributes() const { return {type, zone, spot}; }
 
   // Rental.
   MachineState state = MachineState::booting;
--- a/src/model/types.h
+++ b/src/model/types.h
@@ -31,6 +31,8 @@
     auto it = ids_.find(name);
     return it == ids_.end() ? kNone : it->second;
   }
+  // As intern(); returns kNone for the empty name, which stands for an unknown one.
+  Index intern_unless_empty(const std::string& name) { return name.empty() ? kNone : intern(name); }
   const std::string& name(Index index) const { return names_[index]; }
   size_t size() const { return names_.size(); }
 
@@ -39,6 +41,14 @@
   std::vector<std::string> names_;
 };
 
+// What is decided when a machine is rented and never changes. kNone: unknown.
+struct MachineAttributes {
+  Index type = kNone, zone = kNone;
+  bool spot = false;
+
+  bool operator==(const MachineAttributes& other) const = default;
+};
+
 // How the tasks of a job are related. array: independent tasks; gang: all tasks run at the same
 // time or none does; service: replicas that run until the job is cancelled.
 enum class JobShape : uint8_t { array, gang, service };
--- a/src/placement/eligibility.cpp
+++ b/src/placement/eligibility.cpp
@@ -30,13 +30,14 @@
 bool Eligibility::zone_allows(const Job& job, Index zone, uint32_t more) const {
   if (job.zone != kNone && zone != job.zone) return false;
   if (!job.spec.single_zone && !job.spec.spread_zones) return true;
-  uint32_t here = 0;
+  if (zone == kNone) return false;
+  if (job.unreadable_tasks > 0 && (job.spec.single_zone || job.is_gang())) return false;
+  uint32_t here = job.unreadable_tasks;
   for (const auto& [task, attempt] : job.attempts) {
     if (attempt.state == AttemptState::ended) continue;
-    if (machines_[attempt.machine].zone == zone)
-      ++here;
-    else if (job.spec.single_zone)
-      return false;
+    const Index other_zone = machines_[attempt.machine].zone;
+    if (other_zone == zone || other_zone == kNone) ++here;
+    if (other_zone != zone && job.spec.single_zone) return false;
   }
   return !job.spec.spread_zones || here + more <= (job.tasks() + 1) / 2;
 }
--- a/src/placement/eligibility.h
+++ b/src/placement/eligibility.h
@@ -24,7 +24,9 @@
   // the zone, reservations and earlier failures.
   bool may_run(const Job& job, const Machine& machine, double now) const;
   // Whether `more` further tasks of the job may be placed in the zone. An attempt counts until it
-  // is known to have ended.
+  // is known to have ended. Whatever is in an unknown zone counts against the placement: a machine
+  // whose zone is kNone is allowed for jobs without zone constraints only, and an attempt in an
+  // unknown zone counts as if it were in the most unfavorable one.
   bool zone_allows(const Job& job, Index zone, uint32_t more) const;
   // Free capacity of a machine. Its type must be known.
   Resources free_resources(const Machine& machine) const;
--- a/src/placement/replica_mover.cpp
+++ b/src/placement/replica_mover.cpp
@@ -48,7 +48,7 @@
       return false;
     return eligibility_.may_run(job, *machine, now) &&
            job.spec.per_task.fits_in(eligibility_.free_resources(*machine)) &&
-           (machine->zone == from.zone || eligibility_.zone_allows(job, machine->zone, 1));
+           eligibility_.zone_allows(job, machine->zone, machine->zone == from.zone ? 0 : 1);
   });
 }
 
--- a/src/scheduler/job_loader.cpp
+++ b/src/scheduler/job_loader.cpp
@@ -145,7 +145,10 @@
 // may hold the chunk, and its tasks may be running, so they are not started.
 void JobLoader::collect_waiting_tasks(Job& job, uint64_t version) {
   for (const auto& [first, place] : job.chunks) {
-    if (place.page == kNone && version < pages_.highest_unreadable_version) continue;
+    if (place.page == kNone && version < pages_.highest_unreadable_version) {
+      job.unreadable_tasks += place.count;
+      continue;
+    }
     for (uint32_t task = first; task < first + place.count; ++task)
       if (!job.done.has(task) && !job.attempts.count(task))
         job.waiting.insert(job.waiting.end(), task);
--- a/src/scheduler/machine_table.cpp
+++ b/src/scheduler/machine_table.cpp
@@ -18,6 +18,22 @@
   return *machines_[index];
 }
 
+void MachineTable::set_attributes(Machine& machine, const MachineAttributes& attributes) {
+  const MachineAttributes before = machine.attributes();
+  const bool replaces_type = attributes.type != kNone || machine.type == kNone;
+  if (replaces_type) {
+    machine.type = attributes.type;
+    machine.spot = attributes.spot;
+  }
+  if (attributes.zone != kNone && (replaces_type || machine.zone == kNone))
+    machine.zone = attributes.zone;
+  if (machine.attributes() == before) return;
+  mark_changed(machine);
+  if (before.zone == kNone && !machine.tasks.empty())
+    spdlog::info("machine {}: the zone of its {} attempts is known", machine.name,
+                 machine.tasks.size());
+}
+
 bool MachineTable::set_state(Machine& machine, MachineState to, const char* reason) {
   if (machine.state == to) return true;
   if (!is_transition_allowed(machine.state, to)) {
--- a/src/scheduler/machine_table.h
+++ b/src/scheduler/machine_table.h
@@ -38,6 +38,10 @@
   // Marks the machine's entry in the rented list as changed.
   void mark_changed(const Machine& machine) { rented_.mark_changed(machine.index); }
 
+  // Sets what is known of the machine's type, zone and kind. What is unknown in `attributes`, and a
+  // type that is not in the catalog, replaces nothing.
+  void set_attributes(Machine& machine, const MachineAttributes& attributes);
+
   // Changes the machine's state and logs the transition with its reason. If the state machine does
   // not allow the transition, returns false, changes nothing and logs an error.
   static bool set_state(Machine& machine, MachineState to, const char* reason);
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -49,11 +49,17 @@
 void Scheduler::load(const LedgerCache& ledger, double now) {
   ledger_writer_.load_rented_list(ledger, now);
   loader_.load(ledger, now);
+  ledger_writer_.load_unlisted_machines(ledger);
   size_t live = 0;
   for (const auto& job : jobs_)
     if (job) live += job->attempts.size();
-  spdlog::info("takeover: loaded {} jobs, {} attempts, {} machines", jobs_.count(), live,
-               machines_.size());
+  const auto in_unknown_zone = std::count_if(
+      machines_.begin(), machines_.end(),
+      [](const auto& machine) { return machine->zone == kNone && !machine->tasks.empty(); });
+  spdlog::info(
+      "takeover: loaded {} jobs, {} attempts, {} machines; {} machines with attempts are in an "
+      "unknown zone",
+      jobs_.count(), live, machines_.size(), in_unknown_zone);
 }
 
 void Scheduler::on_job_row(const CachedJob& row, const std::string& id, double now) {
--- a/src/workers/heartbeat_handler.cpp
+++ b/src/workers/heartbeat_handler.cpp
@@ -45,6 +45,8 @@
     return nullptr;
   }
   Machine& machine = machines_.get_or_add(heartbeat.machine, now);
+  // A machine's attributes never change, so that even an outdated heartbeat reveals them.
+  if (machine.zone == kNone && machine.was_up) set_attributes(machine, heartbeat);
   machine.fence.raise_to(heartbeat.fencing_token);
   reply.fencing_token = machine.fence.token(claim_.fencing_token());
   // A delayed heartbeat of a machine that has been returned.
@@ -133,15 +135,15 @@
     MachineTable::set_state(machine, MachineState::ready, "worker sent its first heartbeat");
 }
 
+void HeartbeatHandler::set_attributes(Machine& machine, const Heartbeat& heartbeat) {
+  machines_.set_attributes(machine,
+                           {catalog_.type_names.find(heartbeat.type),
+                            catalog_.zones.intern_unless_empty(heartbeat.zone), heartbeat.spot});
+}
+
 void HeartbeatHandler::register_machine(Machine& machine, const Heartbeat& heartbeat, double now) {
   machine.addr = heartbeat.addr;
-  // A type that is not in the catalog does not replace the type from the cloud's list.
-  const Index type = catalog_.type_names.find(heartbeat.type);
-  if (type != kNone || machine.type == kNone) {
-    machine.type = type;
-    machine.zone = catalog_.zones.intern(heartbeat.zone);
-    machine.spot = heartbeat.spot;
-  }
+  set_attributes(machine, heartbeat);
   boot_tracker_.record_boot(machine, now);
   machine.registered = true;
   machine.heartbeats_with_older_token = 0;
--- a/src/workers/heartbeat_handler.h
+++ b/src/workers/heartbeat_handler.h
@@ -59,6 +59,7 @@
   void raise_token_if_unreachable(Machine& machine);
   void end_attempts_of_older_epochs(const Machine& machine, const Heartbeat& heartbeat, double now);
   void record_heartbeat(Machine& machine, const Heartbeat& heartbeat, double now);
+  void set_attributes(Machine& machine, const Heartbeat& heartbeat);
   void register_machine(Machine& machine, const Heartbeat& heartbeat, double now);
 
   const Settings& settings_;
--- a/tests/compatibility_test.cpp
+++ b/tests/compatibility_test.cpp
@@ -80,8 +80,8 @@
   const auto machines =
       list.load({{ledger::rented_list_key(0), {12, old.at("rented")}}}, types, zones);
   ASSERT_EQ(machines.size(), 3u);
-  EXPECT_EQ(machines[0].type, 0u);
-  EXPECT_EQ(zones.name(machines[0].zone), "a");
+  EXPECT_EQ(machines[0].attributes.type, 0u);
+  EXPECT_EQ(zones.name(machines[0].attributes.zone), "a");
   ledger::Transaction t;
   t.transaction_id = old.at("rented").at("w").get<std::string>();
   list.write(
--- a/tests/rented_list_test.cpp
+++ b/tests/rented_list_test.cpp
@@ -4,6 +4,10 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
+#include <vector>
+
 namespace rookdyke {
 namespace {
 
@@ -27,7 +31,7 @@
 
   void add(const std::string& name, Index type, Index zone, bool spot) {
     list.mark_changed(static_cast<Index>(machines.size()));
-    machines.emplace_back(RentedMachine{name, type, zone, spot});
+    machines.emplace_back(RentedMachine{name, {type, zone, spot}});
   }
 
   // More machines than a row takes, so that a second one begins.
@@ -129,13 +133,13 @@
   const auto machines = successor.load(rows, types, zones);
   ASSERT_EQ(machines.size(), 2u);
   EXPECT_EQ(machines[0].name, "m-2");
-  EXPECT_EQ(machines[0].type, 0u);
-  EXPECT_EQ(machines[0].zone, 1u);
-  EXPECT_FALSE(machines[0].spot);
+  EXPECT_EQ(machines[0].attributes.type, 0u);
+  EXPECT_EQ(machines[0].attributes.zone, 1u);
+  EXPECT_FALSE(machines[0].attributes.spot);
   EXPECT_EQ(machines[1].name, "m-1");
-  EXPECT_EQ(machines[1].type, 1u);
-  EXPECT_EQ(machines[1].zone, 0u);
-  EXPECT_TRUE(machines[1].spot);
+  EXPECT_EQ(machines[1].attributes.type, 1u);
+  EXPECT_EQ(machines[1].attributes.zone, 0u);
+  EXPECT_TRUE(machines[1].attributes.spot);
   EXPECT_TRUE(successor.can_write(2)) << "it writes the list as it knows it";
   ledger::Transaction own;
   successor.write(
@@ -155,8 +159,8 @@
   ASSERT_EQ(machines.size(), 2u);
   EXPECT_EQ(machines[0].name, "m-2");
   EXPECT_EQ(machines[1].name, "m-3");
-  EXPECT_EQ(machines[1].type, kNone);
-  EXPECT_EQ(zones.name(machines[1].zone), "north");
+  EXPECT_EQ(machines[1].attributes.type, kNone);
+  EXPECT_EQ(zones.name(machines[1].attributes.zone), "north");
   const ledger::Transaction transaction = write(1);
   ASSERT_EQ(transaction.conditions.size(), 1u);
   EXPECT_EQ(transaction.conditions[0].key, ledger::rented_list_key(0));
@@ -174,5 +178,73 @@
   }
 }
 
+// A leader that ended between two writes of its predecessor's list left machines on no row, so that
+// its successor did not know their zones.
+TEST_F(RentedListTest, NoWriteOfASuccessorTakesAMachineOffTheList) {
+  constexpr int kMachines = 12 * 400;  // more than ten rows
+  for (int i = 0; i < kMachines; ++i)
+    if (i % 7 == 0)
+      machines.emplace_back(std::nullopt), list.mark_changed(static_cast<Index>(i));
+    else
+      add("m-" + std::to_string(i), 0, i % 2, false);
+  RentedList::Rows rows;
+  uint64_t revision = 1;
+  for (double now = 1; list.can_write(now); now += 5) {
+    const ledger::Transaction transaction = write(now);
+    settle(transaction, ledger::Outcome::applied, ++revision);
+    for (const ledger::Change& change : transaction.changes)
+      rows[change.key] = {revision, change.value};
+  }
+  ASSERT_GT(rows.size(), 10u);
+  rows[ledger::rented_list_key(3)].value = "noise";
+  RentedList successor(kValueBytes);
+  const std::vector<RentedMachine> loaded = successor.load(rows, types, zones);
+  const auto stored = [&] {
+    std::set<std::string> names;
+    for (const auto& [key, row] : rows)
+      if (row.value.is_object())
+        for (const ledger::MachineGroup& group :
+             ledger::decode_machine_groups(row.value.at("machines")))
+          names.insert(group.names.begin(), group.names.end());
+    return names;
+  };
+  const std::set<std::string> before = stored();
+  ASSERT_EQ(before.size(), loaded.size());
+  const auto lookup = [&](Index i) {
+    return i < loaded.size() ? std::optional(loaded[i]) : std::nullopt;
+  };
+  for (double now = 1; successor.can_write(now); now += 5) {
+    ledger::Transaction transaction;
+    successor.write(now, 3, lookup, types, zones, transaction);
+    successor.on_result(transaction, {ledger::Outcome::applied, ++revision, {}});
+    for (const ledger::Change& change : transaction.changes)
+      rows[change.key] = {revision, change.value};
+    ASSERT_EQ(stored(), before) << "after the write at " << now;
+  }
+  for (Index i = 0; i < loaded.size(); ++i) EXPECT_TRUE(successor.is_durable(i)) << i;
+}
+
+// A type that the cloud no longer offers is written as an empty name.
+TEST_F(RentedListTest, MachinesOfAnUnknownTypeKeepTheirZone) {
+  add("m-1", kNone, 1, true);
+  EXPECT_EQ(write(1).changes.at(0).value.at("machines"),
+            json::parse(R"([["", "west", true, ["m-1"]]])"));
+}
+
+TEST_F(RentedListTest, AMachineIsDurableOnceAWriteWithItWasApplied) {
+  add("m-1", 0, 0, false);
+  const ledger::Transaction refused = write(1);
+  add("m-2", 0, 0, false);
+  EXPECT_FALSE(list.is_durable(0));
+  settle(refused, ledger::Outcome::not_executed);
+  EXPECT_FALSE(list.is_durable(0));
+  const ledger::Transaction applied = write(5);
+  add("m-3", 0, 0, false);
+  settle(applied, ledger::Outcome::applied, 12);
+  EXPECT_TRUE(list.is_durable(0));
+  EXPECT_TRUE(list.is_durable(1));
+  EXPECT_FALSE(list.is_durable(2)) << "added after the write began";
+}
+
 }  // namespace
 }  // namespace rookdyke
--- a/tests/run_scenario.cpp
+++ b/tests/run_scenario.cpp
@@ -41,6 +41,8 @@
 //   at T freeze leader|K for S    the process is paused while its clocks run on
 //   at T cut leader|K from state|workers|users|siblings|all for S [hold]
 //   at T unplug MACHINES [in ZONE] for S [hold]     cut from all controllers, a count of machines
+//   at T unplug MACHINES newest for S [hold]        those rented last that are up and have tasks
+//   at T late_list TIMES for S    the cloud's list lags by so many times list_lag_s
 //   at T state_outage S
 //   at T cloud_outage S
 //   at T refuse leader|K for S    the state service refuses that controller alone
--- a/tests/scenario/actions.cpp
+++ b/tests/scenario/actions.cpp
@@ -130,6 +130,10 @@
   change_for_a_while(line, world, &Faults::held_commands_s, line.number(4));
 }
 
+void late_list(const Line& line, World& world) {
+  change_for_a_while(line, world, &Faults::late_list, line.number(3));
+}
+
 void cancel_at_end(const Line& line, World& world) {
   change_for_a_while(line, world, &Faults::cancel_at_end, line.number(3));
 }
@@ -214,13 +218,25 @@
   return machines;
 }
 
+// The so many machines rented last that are up and have tasks; names ascend.
+std::vector<Worker*> newest_machines(World& world, size_t most) {
+  std::vector<Worker*> machines;
+  const auto& workers = world.cloud.workers;
+  for (auto it = workers.rbegin(); it != workers.rend() && machines.size() < most; ++it)
+    if (!it->second->terminated && it->second->up && !it->second->tasks.empty())
+      machines.push_back(it->second.get());
+  return machines;
+}
+
 void unplug(const Line& line, World& world) {
   const size_t most = line.count(3);
   const double s = duration(line);
   const bool hold = line.has("hold");
   const std::string zone = line.text_option("in", "");
-  world.clock.at(event_time(line), [&world, most, s, hold, zone] {
-    for (const Worker* worker : first_machines(world, most, zone))
+  const bool newest = line.has("newest");
+  world.clock.at(event_time(line), [&world, most, s, hold, zone, newest] {
+    const auto machines = newest ? newest_machines(world, most) : first_machines(world, most, zone);
+    for (const Worker* worker : machines)
       for (size_t i = 0; i < world.controllers.size(); ++i)
         world.network.cut(controller_place(i), worker->name, s, hold);
   });
@@ -300,6 +316,7 @@
       {"close_looks", close_looks},
       {"hold_commands", hold_commands},
       {"repeat_commands", repeat_commands},
+      {"late_list", late_list},
       {"cancel_at_end", cancel_at_end},
       {"odd_requests", odd_requests},
       {"cancel_now", cancel_now},
--- a/tests/simulation/cloud.cpp
+++ b/tests/simulation/cloud.cpp
@@ -65,9 +65,10 @@
 
 std::vector<ListedMachine> Cloud::list() const {
   const double now = world_.clock.now;
+  const double lag_s = world_.faults.late_list * world_.settings.list_lag_s;
   std::vector<ListedMachine> out;
   for (const auto& [name, w] : workers) {
-    if (w->terminated || now - w->rented_at < world_.settings.list_lag_s) continue;
+    if (w->terminated || now - w->rented_at < lag_s) continue;
     out.push_back({name, "worker-" + name, w->type.name, w->zone, w->spot,
                    w->up ? ListedMachine::State::running : ListedMachine::State::booting,
                    now - w->rented_at});
--- a/tests/simulation/cloud.h
+++ b/tests/simulation/cloud.h
@@ -26,7 +26,7 @@
   // Idempotent by the request's name: a repeated request is answered with the same machines.
   RentalAnswer rent(const RentalRequest& request);
   void return_machines(const std::vector<std::string>& names);
-  // The machines as of list_lag_s ago.
+  // The machines as of list_lag_s ago, or a multiple of that (Faults::late_list).
   std::vector<ListedMachine> list() const;
   // Machines that are rented, whether they have booted or not.
   size_t machine_count() const;
--- a/tests/simulation/faults.h
+++ b/tests/simulation/faults.h
@@ -20,6 +20,7 @@
   double slow_state_s = 0;   // the state service answers after up to so many seconds
   double cancel_at_end = 0;  // chance that a job is cancelled as its last task ends
   double never_boots = 0;    // chance that a machine never comes up
+  double late_list = 1;      // the cloud's list lags by so many times the lag of the settings
   double slow_boots = 1;     // machines take so many times as long to come up
 };
 
