--- a/tests/scheduler/unknown_zones_test.cpp
+++ b/tests/scheduler/unknown_zones_test.cpp
@@ -254,7 +254,7 @@
   take_over(false);
   const auto written_list = [&](double now) {
     json rows = json::array();
-    uint64_t revision = static_cast<uint64_t>(100 * now);
+    auto revision = static_cast<uint64_t>(100 * now);
     while (auto pending = leader.next_transaction(now)) {
       for (const ledger::Change& change : pending->transaction.changes)
         if (change.key.rfind(ledger::kRentedListPrefix, 0) == 0) rows = change.value.at("machines");
